--- /dev/null
+++ b/ospreyline/decide.py
@@ -0,0 +1,630 @@
+"""All decisions of ospreyline: which upstream a visit goes to, when it is tried again, and when it is not.
+
+How it is called: a front builds one `Balancer` an instance. `take()` gives a `Visit`, the handle by which
+the front tells all that happens to that visit later (`ended`, `began`, `left`); what the list of upstreams
+and the probes say goes to `told_all`, `told_changes`, `told_nothing` and `probed`. The decisions act through
+`host.Host`; that interface and the plain types crossing it are in `host.py`. The design, and the conditions
+under which each exception to it acts, are in docs/design.md; exceptions are marked E1, E2 ... here.
+
+From top to bottom: the figures, the records (path prefix, upstream, visit), then the balancer: its calls,
+the four rules and the one send they guard, the ordinary path, further fetches, and the periodic work.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from math import exp, inf
+from random import Random
+
+from ospreyline.host import NEVER_RAN, Deployment, End, Host, Kind, Listed, PathPrefix, Readiness, Scope
+
+FACTOR = 1.4  # overprovisioning factor of a level's health
+FAILURE_RUN = 5  # failures in a row that mark an upstream failing
+HOLD_DOWN = 10_000.0  # ms an upstream stays failing before its one trial
+LATENCY_MARK = 4.0  # smoothed latency over its lowest of the last minute
+LOWEST_SPAN = 30_000.0  # the lowest is kept for this span and the one before
+RAMP = 10_000.0  # ms until a new or returning upstream counts whole
+FADE = 1_000.0  # ms in which a load report loses most of its weight
+FULL_MEMORY = 1_000.0  # ms an upstream that said it is full counts half
+HIGH_REPORT = 2.0  # a faded report this many times the mean counts half
+
+BEAT = 50.0  # ms between two rounds of periodic work
+SMOOTH = 0.1  # weight of a new sample in smoothed figures
+PATIENCE = 0.5  # share of the target latency that the predicted latency at an upstream may take
+AWAY = 0.7  # of that, at another level's upstreams: they have visits of their own
+FURTHER = 2  # further backend fetches of a visit
+COLD_SHARE = 0.7  # of the cold budget that is used: the capacity is a guess
+PROBE_SPEND = 0.002  # of the gain, the most that probes may cost
+PROBE_EVERY = 1_000.0  # ms between probes of an upstream, at most
+
+
+class Lane:
+    """A path prefix: its terms, what has been learnt of it, and its visits that wait for room."""
+
+    __slots__ = ("gain", "held", "kind", "late_gain", "latency", "scope", "target", "time_out", "usual_ttl",
+                 "window")
+
+    def __init__(self, terms: PathPrefix) -> None:
+        self.kind = terms.kind
+        self.scope = terms.scope
+        self.window = terms.window
+        self.target = terms.target_latency
+        self.time_out = terms.client_timeout
+        self.gain = terms.gain
+        self.late_gain = terms.late_gain
+        self.latency = 0.2 * terms.target_latency  # smoothed, of delivered visits
+        self.usual_ttl = 0.0  # the longest a client has given a try: a first try's
+        self.held: deque[Visit] = deque()
+
+
+class Upstream:
+    """All that is known of one upstream."""
+
+    __slots__ = ("cell", "cold_sends", "failing", "full_at", "id", "latency", "lowest", "lowest_before",
+                 "lowest_since", "mark", "out", "pace", "probed_at", "rate", "ready", "report", "report_at",
+                 "run", "served", "since", "start", "trial_at", "trial_out", "zone")
+
+    def __init__(self, line: Listed) -> None:
+        self.id = line.upstream
+        self.mark = line.mark
+        self.zone = line.zone
+        self.cell = line.cell
+        self.ready = False
+        self.start = -inf  # of its process
+        self.since = -inf  # it is new, or has returned, since then
+        self.out: dict[Fetch, None] = {}  # oldest first
+        self.run = 0
+        self.failing = False
+        self.trial_at = 0.0
+        self.trial_out = False
+        self.full_at = -inf
+        self.latency = 0.0
+        self.lowest = self.lowest_before = inf
+        self.lowest_since = 0.0
+        self.pace = 0.0  # ms of latency for each of our fetches that it held, smoothed
+        self.report = 0.0
+        self.report_at = -inf
+        self.probed_at = -inf
+        self.served = 0
+        self.rate = 0.0  # delivered a second, smoothed
+        self.cold_sends: deque[float] = deque()
+
+    def reborn(self, now: float, start: float) -> None:
+        """A new process: nothing learnt of the old one holds."""
+        self.start = start
+        self.since = max(start, now - RAMP) if start > -inf else now
+        self.failing = self.trial_out = False
+        self.run = 0
+        self.latency = self.pace = self.report = 0.0
+        self.lowest = self.lowest_before = inf
+        self.report_at = -inf
+        self.cold_sends.clear()
+
+    def smooth(self, now: float, latency: float, depth: int) -> None:
+        """Take in how long a fetch took that was sent as the depth-th one out."""
+        sample = latency / depth
+        self.pace += SMOOTH * (sample - self.pace) if self.pace else sample
+        self.latency += SMOOTH * (latency - self.latency) if self.latency else latency
+        if now - self.lowest_since > LOWEST_SPAN:
+            self.lowest_since, self.lowest_before, self.lowest = now, self.lowest, inf
+        self.lowest = min(self.lowest, self.latency)
+
+    def marked(self) -> bool:
+        """Whether the latency mark holds: a slow upstream takes no part in its level's health."""
+        return self.latency > LATENCY_MARK * min(self.lowest, self.lowest_before)
+
+
+class Fetch:
+    """One backend fetch of a visit."""
+
+    __slots__ = ("depth", "end", "sent", "trial", "upstream")
+
+    def __init__(self, upstream: Upstream, now: float) -> None:
+        self.upstream = upstream
+        self.sent = now
+        self.depth = len(upstream.out) + 1
+        self.end: End | None = None
+        self.trial = False
+
+
+class Visit:
+    """The handle of a visit that was taken."""
+
+    __slots__ = ("_balancer", "done", "expires", "fetches", "held", "key", "lane", "out", "patience", "tag",
+                 "target_at")
+
+    def __init__(self, balancer: Balancer, tag: int, lane: Lane, now: float, ttl: float, key: int) -> None:
+        self._balancer = balancer
+        self.tag = tag
+        self.lane = lane
+        self.key = key
+        self.expires = now + ttl
+        # a try that is given less time than others is a later one: its target latency began before
+        elapsed = max(0.0, lane.time_out - ttl) if ttl < 0.98 * lane.usual_ttl else 0.0
+        self.target_at = now + min(ttl, lane.target - elapsed)
+        self.patience = PATIENCE * max(0.0, self.target_at - now)
+        self.fetches: list[Fetch] = []
+        self.out = 0
+        self.held = False
+        self.done = False
+
+    @property
+    def settled(self) -> bool:
+        """Whether it has its final answer and no fetch of it is out: nothing more will be said of it."""
+        return self.done and not self.out
+
+    def may_have_run(self) -> Fetch | None:
+        """The first fetch that may have run or is still out."""
+        for f in self.fetches:
+            if f.end not in NEVER_RAN:
+                return f
+        return None
+
+    def ended(self, now: float, number: int, end: End, spent: float, final: bool,
+              report: tuple[float, ...]) -> None:
+        """One of its fetches has ended; final: the client has its answer."""
+        self._balancer._ended(self, self.fetches[number], now, end, spent, final, report)
+
+    def began(self, now: float, number: int) -> None:
+        """The answer of a fetch streams to the client: the visit is over for us but for that fetch."""
+        self._balancer._close(self, now, keep=self.fetches[number])
+
+    def left(self, now: float) -> None:
+        """The client has gone: nothing is owed any more."""
+        self._balancer._close(self, now)
+
+
+class Balancer:
+    """The decisions of one instance, from its own traffic alone."""
+
+    def __init__(self, host: Host, terms: Deployment, seed: int, now: float) -> None:
+        self._host = host
+        chance = Random(seed)
+        self._random = chance.random
+        self._lanes = [Lane(p) for p in terms.prefixes]
+        self._by_gain = sorted(self._lanes, key=lambda lane: -lane.gain)
+        self._zone = terms.zone
+        self._zones = terms.zones
+        self._balancers = terms.balancers
+        self._max_fetches = terms.max_fetches
+        self._may_copy = terms.may_copy
+        self._may_cancel = terms.may_cancel
+        self._may_probe = terms.may_probe
+        self._probe_fee = terms.probe_fee
+        self._cross_fee = terms.cross_fee
+        self._longest_advice = terms.max_retry_after
+        self._cold_from = terms.cold_from
+        self._warm_within = terms.warm_within
+        self._tip_after = terms.tip_after
+        # sends a window at whole capacity of one a second: our part of what all balancers may send
+        self._cold_budget = COLD_SHARE * terms.overload_factor * terms.tip_after / 1e3 / terms.balancers
+        self._capacity = 0.0  # visits a second that a warm upstream is seen to carry for us
+        self._warm_keys = terms.warm_keys
+        fields = terms.report_fields
+        self._load_field = next((fields.index(f) for f in ("in-flight", "queue", "util") if f in fields), -1)
+        self._must_ask_in = terms.must_ask_in if terms.ask_for_list else inf
+        self._watching = not terms.ask_for_list
+        self._ask_at = now + self._random() * 500 if terms.ask_for_list else inf
+        self._ask_wait = 500.0
+        self._upstreams: dict[int, Upstream] = {}
+        self._levels: list[list[Upstream]] = [[] for _ in range(terms.zones)]  # healthy ones, by zone
+        self._ready: list[Upstream] = []
+        self._due: list[Upstream] = []  # failing ones whose trial is due
+        self._shares: list[tuple[float, int]] = []  # running total of the shares, zone
+        self._order = [(terms.zone + i) % terms.zones for i in range(terms.zones)]  # own first
+        self._mean_report = 0.0
+        self._mean_pace = 0.0
+        self._mean_gain = sum(lane.gain for lane in self._lanes) / max(1, len(self._lanes))
+        self._held = 0
+        self._flow = 0.0  # visits a second that we see delivered
+        self._delivered = 0
+        self._taken = 0
+        self._asked = 0.0  # visits a second that we are asked
+        self._short_at = -inf  # room was last short then
+        self._second_at = now
+        host.wake(now + BEAT, self._beat)
+
+    # -- the list of upstreams --------------------------------------------------------------------------
+
+    def told_all(self, now: float, lines: list[Listed]) -> None:
+        """The whole list: who is missing from it is gone."""
+        named = {line.upstream for line in lines}
+        for u in self._upstreams.values():
+            u.ready = u.ready and u.id in named
+        self.told_changes(now, lines, first=not self._upstreams)
+
+    def told_changes(self, now: float, lines: list[Listed], first: bool = False) -> None:
+        """Changes of the list; an answer to our call, if we had asked."""
+        if not first:
+            self._watching = True
+            self._ask_wait = 500.0
+        for line in lines:
+            u = self._upstreams.get(line.upstream)
+            new = u is None
+            if u is None:
+                u = self._upstreams[line.upstream] = Upstream(line)
+            u.zone, u.cell = line.zone, line.cell
+            was, u.ready = u.ready, line.readiness is Readiness.READY
+            if not u.ready:
+                continue
+            start = min(line.came_up, now) if line.came_up > 0 else -inf
+            if start > u.start or not (was or new or first) or (new and not first and start == -inf):
+                u.reborn(now, start)  # guards: a returning machine is cold, whatever was learnt of it
+        self._rank(now)
+
+    def told_nothing(self, now: float) -> None:
+        """A call for the list failed or the subscription broke: the old list stands, we ask again."""
+        self._watching = False
+        self._ask_at = now + self._ask_wait * (0.5 + self._random())
+        self._ask_wait = min(2 * self._ask_wait, 0.25 * self._must_ask_in, 8_000.0)
+
+    def probed(self, now: float, upstream: int, end: End, spent: float, report: tuple[float, ...]) -> None:
+        """A probe has ended."""
+        u = self._upstreams[upstream]
+        if end is End.DELIVERED:
+            self._take_report(u, now, report)
+        elif u.failing and end is not End.FULL:
+            u.trial_at = now + HOLD_DOWN / 4  # guards: no trial visit is spent on one that no probe reaches
+
+    # -- visits -------------------------------------------------------------------------------------------
+
+    def take(self, now: float, tag: int, prefix: int, ttl: float, key: int, repeat: bool) -> Visit:
+        """A visit has come; it is sent, held or answered before this returns."""
+        lane = self._lanes[prefix]
+        lane.usual_ttl = max(lane.usual_ttl, ttl)
+        visit = Visit(self, tag, lane, now, ttl, key)
+        self._taken += 1
+        self._mean_gain += 0.005 * (lane.gain - self._mean_gain)
+        if not self._place(visit, now):
+            self._hold(visit, now)
+        return visit
+
+    def _ended(self, visit: Visit, f: Fetch, now: float, end: End, spent: float, final: bool,
+               report: tuple[float, ...]) -> None:
+        u = f.upstream
+        if f.end is None:
+            f.end = end
+            visit.out -= 1
+            u.out.pop(f, None)
+            self._learn(u, f, now, end, spent, visit.lane)
+            if report:
+                self._take_report(u, now, report)
+        if final and not visit.done:
+            if end is End.DELIVERED:
+                visit.lane.latency += 0.05 * (spent - visit.lane.latency)
+                self._delivered += 1
+            self._close(visit, now)
+        elif not visit.done and not visit.out:
+            self._again(visit, now)
+        if self._held:
+            self._drain(now)
+
+    def _learn(self, u: Upstream, f: Fetch, now: float, end: End, spent: float, lane: Lane) -> None:
+        if f.trial:
+            u.trial_out = False
+        if end is End.DELIVERED:
+            u.served += 1
+            u.run = 0
+            if u.failing:
+                u.failing = False
+                u.since = now
+            u.smooth(now, spent, f.depth)
+        elif end is End.FULL:
+            u.full_at = now
+            if u.failing:
+                u.trial_at = now + HOLD_DOWN
+        elif end is not End.CANCELLED and end is not End.UNSENT:
+            u.run += 1
+            if end is not End.UNREACHED:
+                # guards: one that errors fast looks idle; each error is as bad as a late answer
+                u.smooth(now, max(spent, lane.target), f.depth)
+            if u.failing or u.run >= FAILURE_RUN:
+                u.failing = True
+                u.trial_at = now + HOLD_DOWN
+
+    def _close(self, visit: Visit, now: float, keep: Fetch | None = None) -> None:
+        """The visit is over: what is still out for it is called off."""
+        visit.done = True
+        if visit.held:
+            visit.held = False
+            self._held -= 1
+        if visit.out and self._may_cancel:
+            for number, f in enumerate(visit.fetches):
+                if f.end is None and f is not keep:
+                    self._host.cancel(visit.tag, number)
+
+    # -- the rules ----------------------------------------------------------------------------------------
+
+    def _may_go(self, visit: Visit, u: Upstream, now: float) -> bool:
+        """The four rules on one send; `_send` lets nothing pass that this refuses."""
+        # no visit lost: nothing after its end, and nothing that its client would not wait for
+        if visit.done or now >= visit.expires or len(visit.fetches) >= self._max_fetches:
+            return False
+        # drains kept: at once when told. Deemed told never comes up: see _follow
+        if not u.ready:
+            return False
+        # no effect twice
+        if visit.out and not self._may_copy:
+            return False
+        lane = visit.lane
+        if lane.kind is not Kind.READ_LIKE and (ran := visit.may_have_run()) is not None:
+            if lane.kind is Kind.MUTATING or now >= ran.sent + lane.window:
+                return False
+            if lane.scope is Scope.ZONE and u.zone != ran.upstream.zone:
+                return False
+            if lane.scope is Scope.CELL and (u.cell != ran.upstream.cell or u.zone != ran.upstream.zone):
+                return False
+        # no cold upstream pushed over: our part of the budget, for any window
+        age = now - u.start
+        if age < self._warm_within:
+            sends = u.cold_sends
+            while sends and sends[0] <= now - self._tip_after:
+                sends.popleft()
+            return len(sends) < max(1.0, self._cold_budget * self._capacity * self._warmth(u, now))
+        return True
+
+    def _may_bounce(self, visit: Visit) -> bool:
+        """A bounce tells the client that trying again is harmless."""
+        lane = visit.lane
+        return (lane.kind is Kind.READ_LIKE or visit.may_have_run() is None
+                or (lane.kind is Kind.TAGGED and lane.scope is Scope.ALL))
+
+    def _send(self, visit: Visit, u: Upstream, now: float, trial: bool = False) -> bool:
+        """The one place that sends."""
+        if not self._may_go(visit, u, now):
+            return False
+        f = Fetch(u, now)
+        f.trial = trial
+        if trial:
+            u.trial_out = True
+        if now - u.start < self._warm_within:
+            u.cold_sends.append(now)
+        self._host.send(visit.tag, u.id, self._time_out(visit, now))
+        visit.fetches.append(f)
+        visit.out += 1
+        u.out[f] = None
+        if visit.held:
+            visit.held = False
+            self._held -= 1
+        return True
+
+    def _give_up(self, visit: Visit, now: float) -> None:
+        """Answer at once: a bounce where that is true, else an error."""
+        if self._may_bounce(visit):
+            # overload: clients come back when it may have passed; else soon
+            short = now - self._short_at < 1_000
+            self._host.bounce(visit.tag, self._longest_advice * (1.0 if short else 0.25))
+        else:
+            self._host.fail(visit.tag)
+        self._close(visit, now)
+
+    # -- the ordinary path --------------------------------------------------------------------------------
+
+    def _warmth(self, u: Upstream, now: float) -> float:
+        """The share of its capacity that a starting upstream has at the least."""
+        if now - u.start >= self._warm_within:
+            return 1.0
+        return self._cold_from + (1 - self._cold_from) * (now - u.start) / self._warm_within
+
+    def _place(self, visit: Visit, now: float) -> bool:
+        """Send a visit: draw a level by share, take the lower-scored of two inside."""
+        if self._due and visit.lane.kind is not Kind.MUTATING and not visit.fetches:
+            for due in self._due:
+                if not due.trial_out and now >= due.trial_at and self._send(visit, due, now, trial=True):
+                    return True
+        if not self._shares:  # all health is 0: draw over all ready
+            u = self._lower_of_two(self._ready, visit, now, visit.patience * 2)
+            return u is not None and self._send(visit, u, now)
+        drawn = self._random() * self._shares[-1][0]
+        zone = next((z for total, z in self._shares if drawn < total), self._zone)
+        u = self._lower_of_two(self._levels[zone], visit, now, visit.patience)
+        if u is None and visit.lane.gain > self._cross_fee * self._mean_gain:
+            # E1: the drawn level has no room within the target latency; crossing costs less than the visit
+            # gains, so the next level with room takes it
+            for z in self._order:
+                if z != zone:
+                    away = AWAY if z != self._zone else 1.0
+                    u = self._lower_of_two(self._levels[z], visit, now, away * visit.patience)
+                    if u is not None:
+                        break
+        return u is not None and self._send(visit, u, now)
+
+    def _lower_of_two(self, level: list[Upstream], visit: Visit, now: float,
+                      patience: float) -> Upstream | None:
+        """The lower-scored of two random upstreams that have room for the visit and may take it."""
+        tried = [f.upstream for f in visit.fetches] if visit.fetches else ()
+        fit = [
+            u for u in level
+            if (len(u.out) + 1) * u.pace <= patience and u not in tried and self._may_go(visit, u, now)
+            and (now - u.start >= self._warm_within or self._random() < self._warmth(u, now))
+        ]
+        if not fit:
+            return None
+        n = len(fit)
+        if n == 1:
+            return fit[0]
+        if self._warm_keys and visit.key:
+            # E2: where upstreams remember keys, the two are drawn by the key, the same for all its visits
+            key = visit.key
+            fit.sort(key=lambda u: (key ^ u.mark * 0x9E3779B97F4A7C15) * 0xD6E8FEB86659FD93 >> 24 & 0xFFFFFFF)
+            a, b = fit[0], fit[1]
+        else:
+            i = int(self._random() * n)
+            j = int(self._random() * (n - 1))
+            a, b = fit[i], fit[j if j < i else j + 1]
+        x, y = self._score(a, now), self._score(b, now)
+        if x == y:
+            return a if self._random() < 0.5 else b
+        return a if x < y else b
+
+    def _score(self, u: Upstream, now: float) -> float:
+        """Own fetches out and the reported load, fading; one unheard takes the others' mean."""
+        if u.report_at > -inf:
+            return len(u.out) + u.report * exp((u.report_at - now) / FADE)
+        return len(u.out) + self._mean_report
+
+    # -- waiting, further fetches -------------------------------------------------------------------------
+
+    def _hold(self, visit: Visit, now: float) -> None:
+        """No room: wait for it if it will mostly come in time, else answer at once."""
+        if self._ready:
+            self._short_at = now
+        lane = visit.lane
+        ahead = 1
+        for other in self._by_gain:
+            ahead += len(other.held)
+            if other is lane:
+                break
+        wait = 1e3 * ahead / self._flow if self._flow else inf
+        if not self._ready or now + wait > visit.target_at - visit.patience:
+            self._give_up(visit, now)
+            return
+        visit.held = True
+        self._held += 1
+        lane.held.append(visit)
+
+    def _drain(self, now: float) -> None:
+        """Room may have come: the visits of the highest gain that still can be in time go first."""
+        for lane in self._by_gain:
+            held = lane.held
+            while held:
+                visit = held[0]
+                if visit.done or not visit.held:
+                    held.popleft()
+                elif now > visit.target_at - visit.patience:
+                    held.popleft()
+                    self._give_up(visit, now)
+                elif self._place(visit, now):
+                    held.popleft()
+                else:
+                    self._short_at = now
+                    break
+
+    def _again(self, visit: Visit, now: float) -> None:
+        """The last fetch that was out has failed: another one, or the final answer."""
+        ran = visit.may_have_run()
+        if now < visit.expires and len(visit.fetches) <= FURTHER:
+            if ran is None:
+                if not self._place(visit, now):
+                    self._hold(visit, now)
+                return
+            overload = self._held or now - self._short_at < 1_000
+            if not overload and now < visit.target_at and self._place(visit, now):
+                return
+        self._give_up(visit, now)
+
+    def _time_out(self, visit: Visit, now: float) -> float:
+        """How long a fetch may take: less than the client waits only where another one could follow."""
+        lane = visit.lane
+        left = visit.expires - now
+        last = len(visit.fetches) >= min(FURTHER, self._max_fetches - 1)
+        if last or lane.kind is Kind.MUTATING or self._held:
+            return left
+        spare = visit.target_at - now - 2 * lane.latency
+        if spare < PATIENCE * lane.target or (lane.kind is Kind.TAGGED and spare >= lane.window):
+            return left
+        return min(left, spare)
+
+    def _take_report(self, u: Upstream, now: float, report: tuple[float, ...]) -> None:
+        if 0 <= self._load_field < len(report):
+            u.report = max(0.0, report[self._load_field])
+            u.report_at = now
+
+    # -- periodic work ------------------------------------------------------------------------------------
+
+    def _beat(self, now: float) -> None:
+        self._host.wake(now + BEAT, self._beat)
+        if now - self._second_at >= 1_000:
+            self._count(now)
+        for u in self._ready:
+            if u.out and u.pace:
+                # guards: a stuck upstream answers nothing that could be measured; its oldest fetch tells
+                f = next(iter(u.out))
+                late = (now - f.sent) / f.depth
+                if late > 2 * u.pace:
+                    u.pace += SMOOTH * (late - u.pace)
+        self._rank(now)
+        if self._held:
+            self._drain(now)
+        self._follow(now)
+        if self._may_probe:
+            self._probe(now)
+
+    def _count(self, now: float) -> None:
+        """Once a second: rates, and the capacity that warm upstreams are seen to have."""
+        span = (now - self._second_at) / 1e3
+        self._second_at = now
+        self._flow += 0.5 * (self._delivered / span - self._flow)
+        self._asked += 0.3 * (self._taken / span - self._asked)
+        self._delivered = self._taken = 0
+        totals = [[0.0, 0] for _ in range(self._zones)]
+        for u in self._upstreams.values():
+            u.rate += 0.3 * (u.served / span - u.rate)
+            u.served = 0
+            if u.ready and not u.failing and now - u.start >= self._warm_within:
+                totals[u.zone][0] += u.rate
+                totals[u.zone][1] += 1
+        self._capacity = max(0.99 * self._capacity, *(t / n if n else 0.0 for t, n in totals))
+
+    def _rank(self, now: float) -> None:
+        """Healths, shares and candidates, from what each record says now."""
+        ready = self._ready = [u for u in self._upstreams.values() if u.ready]
+        heard = [u.report * exp((u.report_at - now) / FADE) for u in ready if u.report_at > -inf]
+        self._mean_report = sum(heard) / len(heard) if heard else 0.0
+        paces = [u.pace for u in ready if u.pace]
+        self._mean_pace = sum(paces) / len(paces) if paces else 0.0
+        counts = [0.0] * self._zones
+        totals = [0] * self._zones
+        levels: list[list[Upstream]] = [[] for _ in range(self._zones)]
+        self._due = []
+        for u in ready:
+            totals[u.zone] += 1
+            if not u.pace and self._mean_pace:
+                u.pace = self._mean_pace / max(0.25, self._warmth(u, now))
+            if u.failing:
+                if now >= u.trial_at:
+                    self._due.append(u)
+                continue
+            if u.marked():
+                continue
+            levels[u.zone].append(u)
+            count = min(1.0, (now - u.since) / RAMP)
+            high = u.report * exp((u.report_at - now) / FADE) > HIGH_REPORT * self._mean_report + 0.5
+            if high or now - u.full_at < FULL_MEMORY:
+                count /= 2
+            counts[u.zone] += count
+        self._levels = levels
+        healths = [min(100.0, FACTOR * 100 * counts[z] / max(1, totals[z])) for z in self._order]
+        self._shares = shares(self._order, healths)
+
+    def _follow(self, now: float) -> None:
+        """Keep a subscription. Guards: asked for well within the time after which we would be deemed told."""
+        if not self._watching and now >= self._ask_at:
+            # failed calls are told; one that is never answered is asked again
+            self._ask_at = now + min(4_000.0, 0.4 * self._must_ask_in)
+            self._host.watch(True)
+
+    def _probe(self, now: float) -> None:
+        """Probe where allowed, as often as their price permits; failing ones before their trial."""
+        ready = self._ready
+        if not ready or self._load_field < 0:
+            return
+        every = PROBE_EVERY
+        if self._probe_fee and self._asked:
+            every = max(every, 1e3 * len(ready) * self._probe_fee / (PROBE_SPEND * self._asked))
+        for u in ready:
+            if now - u.probed_at >= every:
+                u.probed_at = now - self._random() * BEAT
+                self._host.probe(u.id)
+
+
+def shares(order: list[int], healths: list[float]) -> list[tuple[float, int]]:
+    """Running totals of the levels' shares of 100, filled in order; empty when all health is 0."""
+    total = min(100.0, sum(healths))
+    filled, out = 0.0, []
+    for zone, health in zip(order, healths, strict=True):
+        share = min(100.0 - filled, health * 100 / total) if total else 0.0
+        if share > 0:
+            filled += share
+            out.append((filled, zone))
+    return out
