An idle upstream always has room for one visit; slowness of idle ones fades

Cause: an upstream whose pace passed the patience got no visits and so was never measured again; whole levels were locked out and 60-80% of visits bounced. The latency mark now also asks that the upstream is slower than its peers (all slow is load).

--- a/ospreyline/decide.py
+++ b/ospreyline/decide.py
@@ -29,6 +29,7 @@
 HIGH_REPORT = 2.0  # a faded report this many times the mean counts half
 
 BEAT = 50.0  # ms between two rounds of periodic work
+FORGET = 4_000.0  # ms in which an idle upstream's slowness fades
 SMOOTH = 0.1  # weight of a new sample in smoothed figures
 PATIENCE = 0.5  # share of the target latency that the predicted latency at an upstream may take
 AWAY = 0.7  # of that, at another level's upstreams: they have visits of their own
@@ -109,9 +110,11 @@
             self.lowest_since, self.lowest_before, self.lowest = now, self.lowest, inf
         self.lowest = min(self.lowest, self.latency)
 
-    def marked(self) -> bool:
+    def marked(self, mean_pace: float) -> bool:
         """Whether the latency mark holds: a slow upstream takes no part in its level's health."""
-        return self.latency > LATENCY_MARK * min(self.lowest, self.lowest_before)
+        # E3: where all are as slow, it is load and no fault of one; marking them would swing the shares
+        return (self.latency > LATENCY_MARK * min(self.lowest, self.lowest_before)
+                and self.pace > 2 * mean_pace)
 
 
 class Fetch:
@@ -435,7 +438,7 @@
         tried = [f.upstream for f in visit.fetches] if visit.fetches else ()
         fit = [
             u for u in level
-            if (len(u.out) + 1) * u.pace <= patience and u not in tried and self._may_go(visit, u, now)
+            if (not u.out or (len(u.out) + 1) * u.pace <= patience) and u not in tried and self._may_go(visit, u, now)
             and (now - u.start >= self._warm_within or self._random() < self._warmth(u, now))
         ]
         if not fit:
@@ -543,6 +546,10 @@
                 late = (now - f.sent) / f.depth
                 if late > 2 * u.pace:
                     u.pace += SMOOTH * (late - u.pace)
+            elif u.pace > self._mean_pace > 0:
+                # guards: one passed over for being slow is never measured again, so that fades
+                u.pace += BEAT / FORGET * (self._mean_pace - u.pace)
+                u.latency += BEAT / FORGET * (self._mean_pace - u.latency)
         self._rank(now)
         if self._held:
             self._drain(now)
@@ -585,7 +592,7 @@
                 if now >= u.trial_at:
                     self._due.append(u)
                 continue
-            if u.marked():
+            if u.marked(self._mean_pace):
                 continue
             levels[u.zone].append(u)
             count = min(1.0, (now - u.since) / RAMP)
