--- a/ospreyline/decide.py
+++ b/ospreyline/decide.py
@@ -63,7 +63,7 @@
 
     __slots__ = ("cell", "cold_sends", "failing", "full_at", "id", "latency", "lowest", "lowest_before",
                  "lowest_since", "mark", "out", "pace", "probed_at", "rate", "ready", "report", "report_at",
-                 "run", "served", "since", "start", "trial_at", "trial_out", "zone")
+                 "run", "sent_at", "served", "since", "start", "trial_at", "trial_out", "zone")
 
     def __init__(self, line: Listed) -> None:
         self.id = line.upstream
@@ -86,6 +86,7 @@
         self.report = 0.0
         self.report_at = -inf
         self.probed_at = -inf
+        self.sent_at = -inf
         self.served = 0
         self.rate = 0.0  # delivered a second, smoothed
         self.cold_sends: deque[float] = deque()
@@ -386,6 +387,7 @@
         visit.fetches.append(f)
         visit.out += 1
         u.out[f] = None
+        u.sent_at = now
         if visit.held:
             visit.held = False
             self._held -= 1
@@ -438,7 +440,7 @@
         tried = [f.upstream for f in visit.fetches] if visit.fetches else ()
         fit = [
             u for u in level
-            if (not u.out or (len(u.out) + 1) * u.pace <= patience) and u not in tried and self._may_go(visit, u, now)
+            if self._has_room(u, now, patience) and u not in tried and self._may_go(visit, u, now)
             and (now - u.start >= self._warm_within or self._random() < self._warmth(u, now))
         ]
         if not fit:
@@ -460,6 +462,14 @@
             return a if self._random() < 0.5 else b
         return a if x < y else b
 
+    def _has_room(self, u: Upstream, now: float, patience: float) -> bool:
+        """Whether an upstream is predicted to answer one more within the patience."""
+        if (len(u.out) + 1) * u.pace <= patience:
+            return True
+        # guards: a crowded one still gets one now and then, to be measured; all balancers do so at once, so
+        # each only as often as its part of what the upstream does
+        return not u.out and now - u.sent_at >= self._balancers * u.pace
+
     def _score(self, u: Upstream, now: float) -> float:
         """Own fetches out and the reported load, fading; one unheard takes the others' mean."""
         if u.report_at > -inf:
