--- a/ospreyline/decide.py
+++ b/ospreyline/decide.py
@@ -61,8 +61,8 @@
 class Upstream:
     """All that is known of one upstream."""
 
-    __slots__ = ("cell", "cold_sends", "failing", "full_at", "id", "latency", "lowest", "lowest_before",
-                 "lowest_since", "mark", "out", "pace", "probed_at", "rate", "ready", "report", "report_at",
+    __slots__ = ("cell", "cold_sends", "depth", "failing", "full_at", "id", "latency", "lowest", "lowest_before",
+                 "lowest_since", "mark", "out", "probed_at", "rate", "ready", "report", "report_at",
                  "run", "sent_at", "served", "since", "start", "trial_at", "trial_out", "zone")
 
     def __init__(self, line: Listed) -> None:
@@ -82,7 +82,7 @@
         self.latency = 0.0
         self.lowest = self.lowest_before = inf
         self.lowest_since = 0.0
-        self.pace = 0.0  # ms of latency for each of our fetches that it held, smoothed
+        self.depth = 1.0  # fetches of ours that it held when sent the ones measured, smoothed alike
         self.report = 0.0
         self.report_at = -inf
         self.probed_at = -inf
@@ -97,25 +97,32 @@
         self.since = max(start, now - RAMP) if start > -inf else now
         self.failing = self.trial_out = False
         self.run = 0
-        self.latency = self.pace = self.report = 0.0
+        self.latency = self.report = 0.0
+        self.depth = 1.0
         self.lowest = self.lowest_before = inf
         self.report_at = -inf
         self.cold_sends.clear()
 
     def smooth(self, now: float, latency: float, depth: int) -> None:
         """Take in how long a fetch took that was sent as the depth-th one out."""
-        sample = latency / depth
-        self.pace += SMOOTH * (sample - self.pace) if self.pace else sample
-        self.latency += SMOOTH * (latency - self.latency) if self.latency else latency
+        if self.lowest == inf == self.lowest_before:
+            self.latency, self.depth = latency, float(depth)
+        self.latency += SMOOTH * (latency - self.latency)
+        self.depth += SMOOTH * (depth - self.depth)
         if now - self.lowest_since > LOWEST_SPAN:
             self.lowest_since, self.lowest_before, self.lowest = now, self.lowest, inf
         self.lowest = min(self.lowest, self.latency)
 
-    def marked(self, mean_pace: float) -> bool:
+    def predicted(self) -> float:
+        """The latency of one more: the measured one, and a service time for each that it holds beyond then."""
+        lowest = min(self.lowest, self.lowest_before, self.latency / self.depth)
+        return self.latency + (len(self.out) + 1 - self.depth) * lowest
+
+    def marked(self, mean_latency: float) -> bool:
         """Whether the latency mark holds: a slow upstream takes no part in its level's health."""
         # E3: where all are as slow, it is load and no fault of one; marking them would swing the shares
         return (self.latency > LATENCY_MARK * min(self.lowest, self.lowest_before)
-                and self.pace > 2 * mean_pace)
+                and self.latency > 2 * mean_latency)
 
 
 class Fetch:
@@ -217,7 +224,7 @@
         self._shares: list[tuple[float, int]] = []  # running total of the shares, zone
         self._order = [(terms.zone + i) % terms.zones for i in range(terms.zones)]  # own first
         self._mean_report = 0.0
-        self._mean_pace = 0.0
+        self._mean_latency = 0.0
         self._mean_gain = sum(lane.gain for lane in self._lanes) / max(1, len(self._lanes))
         self._held = 0
         self._flow = 0.0  # visits a second that we see delivered
@@ -464,11 +471,11 @@
 
     def _has_room(self, u: Upstream, now: float, patience: float) -> bool:
         """Whether an upstream is predicted to answer one more within the patience."""
-        if (len(u.out) + 1) * u.pace <= patience:
+        if u.predicted() <= patience:
             return True
         # guards: a crowded one still gets one now and then, to be measured; all balancers do so at once, so
         # each only as often as its part of what the upstream does
-        return not u.out and now - u.sent_at >= self._balancers * u.pace
+        return not u.out and now - u.sent_at >= self._balancers * u.latency
 
     def _score(self, u: Upstream, now: float) -> float:
         """Own fetches out and the reported load, fading; one unheard takes the others' mean."""
@@ -550,16 +557,14 @@
         if now - self._second_at >= 1_000:
             self._count(now)
         for u in self._ready:
-            if u.out and u.pace:
+            if u.out:
                 # guards: a stuck upstream answers nothing that could be measured; its oldest fetch tells
-                f = next(iter(u.out))
-                late = (now - f.sent) / f.depth
-                if late > 2 * u.pace:
-                    u.pace += SMOOTH * (late - u.pace)
-            elif u.pace > self._mean_pace > 0:
+                late = now - next(iter(u.out)).sent
+                if late > 2 * u.latency:
+                    u.latency += SMOOTH * (late - u.latency)
+            elif u.lowest < u.latency:
                 # guards: one passed over for being slow is never measured again, so that fades
-                u.pace += BEAT / FORGET * (self._mean_pace - u.pace)
-                u.latency += BEAT / FORGET * (self._mean_pace - u.latency)
+                u.latency += BEAT / FORGET * (u.lowest - u.latency)
         self._rank(now)
         if self._held:
             self._drain(now)
@@ -588,21 +593,21 @@
         ready = self._ready = [u for u in self._upstreams.values() if u.ready]
         heard = [u.report * exp((u.report_at - now) / FADE) for u in ready if u.report_at > -inf]
         self._mean_report = sum(heard) / len(heard) if heard else 0.0
-        paces = [u.pace for u in ready if u.pace]
-        self._mean_pace = sum(paces) / len(paces) if paces else 0.0
+        latencies = [u.latency for u in ready if u.latency]
+        self._mean_latency = sum(latencies) / len(latencies) if latencies else 0.0
         counts = [0.0] * self._zones
         totals = [0] * self._zones
         levels: list[list[Upstream]] = [[] for _ in range(self._zones)]
         self._due = []
         for u in ready:
             totals[u.zone] += 1
-            if not u.pace and self._mean_pace:
-                u.pace = self._mean_pace / max(0.25, self._warmth(u, now))
+            if not u.latency and self._mean_latency:
+                u.latency = self._mean_latency / max(0.25, self._warmth(u, now))
             if u.failing:
                 if now >= u.trial_at:
                     self._due.append(u)
                 continue
-            if u.marked(self._mean_pace):
+            if u.marked(self._mean_latency):
                 continue
             levels[u.zone].append(u)
             count = min(1.0, (now - u.since) / RAMP)
