Patience by gain; prediction scaled by what is out, other balancers' part counted

Cause: under overload all path prefixes were bounced alike, and upstreams swung between flooded and shut. Portal still bounces a fifth.

--- a/ospreyline/decide.py
+++ b/ospreyline/decide.py
@@ -31,8 +31,7 @@
 BEAT = 50.0  # ms between two rounds of periodic work
 FORGET = 4_000.0  # ms in which an idle upstream's slowness fades
 SMOOTH = 0.1  # weight of a new sample in smoothed figures
-PATIENCE = 0.5  # share of the target latency that the predicted latency at an upstream may take
-AWAY = 0.7  # of that, at another level's upstreams: they have visits of their own
+PATIENCE = 0.75  # share of the target latency that a visit of great gain accepts as predicted latency
 FURTHER = 2  # further backend fetches of a visit
 COLD_SHARE = 0.7  # of the cold budget that is used: the capacity is a guess
 PROBE_SPEND = 0.002  # of the gain, the most that probes may cost
@@ -61,11 +60,12 @@
 class Upstream:
     """All that is known of one upstream."""
 
-    __slots__ = ("cell", "cold_sends", "depth", "failing", "full_at", "id", "latency", "lowest", "lowest_before",
-                 "lowest_since", "mark", "out", "probed_at", "rate", "ready", "report", "report_at",
-                 "run", "sent_at", "served", "since", "start", "trial_at", "trial_out", "zone")
+    __slots__ = ("cell", "cold_sends", "depth", "failing", "full_at", "id", "latency", "lowest",
+                 "lowest_before", "lowest_since", "mark", "out", "probed_at", "rate", "ready", "report",
+                 "report_at", "rivals", "run", "samples", "sent_at", "served", "since", "start", "trial_at",
+                 "trial_out", "zone")
 
-    def __init__(self, line: Listed) -> None:
+    def __init__(self, line: Listed, rivals: float) -> None:
         self.id = line.upstream
         self.mark = line.mark
         self.zone = line.zone
@@ -82,6 +82,8 @@
         self.latency = 0.0
         self.lowest = self.lowest_before = inf
         self.lowest_since = 0.0
+        self.samples = 0
+        self.rivals = rivals  # what other balancers have out to it, as a multiple of ours
         self.depth = 1.0  # fetches of ours that it held when sent the ones measured, smoothed alike
         self.report = 0.0
         self.report_at = -inf
@@ -99,24 +101,26 @@
         self.run = 0
         self.latency = self.report = 0.0
         self.depth = 1.0
+        self.samples = 0
         self.lowest = self.lowest_before = inf
         self.report_at = -inf
         self.cold_sends.clear()
 
     def smooth(self, now: float, latency: float, depth: int) -> None:
         """Take in how long a fetch took that was sent as the depth-th one out."""
-        if self.lowest == inf == self.lowest_before:
-            self.latency, self.depth = latency, float(depth)
-        self.latency += SMOOTH * (latency - self.latency)
-        self.depth += SMOOTH * (depth - self.depth)
+        self.samples += 1
+        weight = max(SMOOTH, 1 / self.samples)
+        self.latency += weight * (latency - self.latency)
+        self.depth += weight * (depth - self.depth)
         if now - self.lowest_since > LOWEST_SPAN:
             self.lowest_since, self.lowest_before, self.lowest = now, self.lowest, inf
-        self.lowest = min(self.lowest, self.latency)
+        if self.samples * SMOOTH >= 1:
+            self.lowest = min(self.lowest, self.latency)
 
     def predicted(self) -> float:
-        """The latency of one more: the measured one, and a service time for each that it holds beyond then."""
-        lowest = min(self.lowest, self.lowest_before, self.latency / self.depth)
-        return self.latency + (len(self.out) + 1 - self.depth) * lowest
+        """The latency of one more: the measured one, scaled by what it holds now, others' included."""
+        others = self.rivals * self.depth
+        return self.latency * (len(self.out) + 1 + others) / (self.depth + others)
 
     def marked(self, mean_latency: float) -> bool:
         """Whether the latency mark holds: a slow upstream takes no part in its level's health."""
@@ -141,7 +145,7 @@
 class Visit:
     """The handle of a visit that was taken."""
 
-    __slots__ = ("_balancer", "done", "expires", "fetches", "held", "key", "lane", "out", "patience", "tag",
+    __slots__ = ("_balancer", "came", "done", "expires", "fetches", "held", "key", "lane", "out", "tag",
                  "target_at")
 
     def __init__(self, balancer: Balancer, tag: int, lane: Lane, now: float, ttl: float, key: int) -> None:
@@ -149,11 +153,11 @@
         self.tag = tag
         self.lane = lane
         self.key = key
+        self.came = now
         self.expires = now + ttl
         # a try that is given less time than others is a later one: its target latency began before
         elapsed = max(0.0, lane.time_out - ttl) if ttl < 0.98 * lane.usual_ttl else 0.0
         self.target_at = now + min(ttl, lane.target - elapsed)
-        self.patience = PATIENCE * max(0.0, self.target_at - now)
         self.fetches: list[Fetch] = []
         self.out = 0
         self.held = False
@@ -253,7 +257,9 @@
             u = self._upstreams.get(line.upstream)
             new = u is None
             if u is None:
-                u = self._upstreams[line.upstream] = Upstream(line)
+                each = self._balancers / self._zones
+                rivals = max(0.0, each - 1) if line.zone == self._zone else each
+                u = self._upstreams[line.upstream] = Upstream(line, rivals)
             u.zone, u.cell = line.zone, line.cell
             was, u.ready = u.ready, line.readiness is Readiness.READY
             if not u.ready:
@@ -425,22 +431,28 @@
                 if not due.trial_out and now >= due.trial_at and self._send(visit, due, now, trial=True):
                     return True
         if not self._shares:  # all health is 0: draw over all ready
-            u = self._lower_of_two(self._ready, visit, now, visit.patience * 2)
+            u = self._lower_of_two(self._ready, visit, now, inf)
             return u is not None and self._send(visit, u, now)
         drawn = self._random() * self._shares[-1][0]
         zone = next((z for total, z in self._shares if drawn < total), self._zone)
-        u = self._lower_of_two(self._levels[zone], visit, now, visit.patience)
-        if u is None and visit.lane.gain > self._cross_fee * self._mean_gain:
+        home = self._patience(visit, 0.0)
+        away = self._patience(visit, self._cross_fee * self._mean_gain)
+        u = self._lower_of_two(self._levels[zone], visit, now, home if zone == self._zone else away)
+        if u is None and away > 0:
             # E1: the drawn level has no room within the target latency; crossing costs less than the visit
             # gains, so the next level with room takes it
             for z in self._order:
                 if z != zone:
-                    away = AWAY if z != self._zone else 1.0
-                    u = self._lower_of_two(self._levels[z], visit, now, away * visit.patience)
+                    u = self._lower_of_two(self._levels[z], visit, now, home if z == self._zone else away)
                     if u is not None:
                         break
         return u is not None and self._send(visit, u, now)
 
+    def _patience(self, visit: Visit, fee: float) -> float:
+        """The predicted latency that a visit accepts: more for more gain, so that low gain yields first."""
+        gain = max(0.0, visit.lane.gain - fee)
+        return PATIENCE * (visit.target_at - visit.came) * gain / (gain + self._mean_gain)
+
     def _lower_of_two(self, level: list[Upstream], visit: Visit, now: float,
                       patience: float) -> Upstream | None:
         """The lower-scored of two random upstreams that have room for the visit and may take it."""
@@ -471,7 +483,7 @@
 
     def _has_room(self, u: Upstream, now: float, patience: float) -> bool:
         """Whether an upstream is predicted to answer one more within the patience."""
-        if u.predicted() <= patience:
+        if u.predicted() <= max(patience, 1.5 * u.lowest if u.lowest < inf and not u.out else 0.0):
             return True
         # guards: a crowded one still gets one now and then, to be measured; all balancers do so at once, so
         # each only as often as its part of what the upstream does
@@ -496,13 +508,17 @@
             if other is lane:
                 break
         wait = 1e3 * ahead / self._flow if self._flow else inf
-        if not self._ready or now + wait > visit.target_at - visit.patience:
+        if not self._ready or now + wait > self._hold_until(visit):
             self._give_up(visit, now)
             return
         visit.held = True
         self._held += 1
         lane.held.append(visit)
 
+    def _hold_until(self, visit: Visit) -> float:
+        """Until then a visit may wait and still be answered in time."""
+        return visit.target_at - self._patience(visit, 0.0)
+
     def _drain(self, now: float) -> None:
         """Room may have come: the visits of the highest gain that still can be in time go first."""
         for lane in self._by_gain:
@@ -511,7 +527,7 @@
                 visit = held[0]
                 if visit.done or not visit.held:
                     held.popleft()
-                elif now > visit.target_at - visit.patience:
+                elif now > self._hold_until(visit):
                     held.popleft()
                     self._give_up(visit, now)
                 elif self._place(visit, now):
@@ -541,7 +557,9 @@
         if last or lane.kind is Kind.MUTATING or self._held:
             return left
         spare = visit.target_at - now - 2 * lane.latency
-        if spare < PATIENCE * lane.target or (lane.kind is Kind.TAGGED and spare >= lane.window):
+        if spare < max(0.5 * lane.target, 4 * lane.latency):
+            return left
+        if lane.kind is Kind.TAGGED and spare >= lane.window:
             return left
         return min(left, spare)
 
