--- a/ospreyline/decide.py
+++ b/ospreyline/decide.py
@@ -31,7 +31,8 @@
 BEAT = 50.0  # ms between two rounds of periodic work
 FORGET = 4_000.0  # ms in which an idle upstream's slowness fades
 SMOOTH = 0.1  # weight of a new sample in smoothed figures
-PATIENCE = 0.9  # share of the target latency that a visit of great gain accepts as predicted latency
+PATIENCE = 0.6  # share of the target latency that a visit of great gain accepts as predicted latency
+SHORT = 4.0
 FURTHER = 2  # further backend fetches of a visit
 COLD_SHARE = 0.7  # of the cold budget that is used: the capacity is a guess
 PROBE_SPEND = 0.002  # of the gain, the most that probes may cost
@@ -110,7 +111,9 @@
         """Take in how long a fetch took that was sent as the depth-th one out."""
         self.samples += 1
         weight = max(SMOOTH, 1 / self.samples)
-        self.latency += weight * (latency - self.latency)
+        # guards: one heavy visit says little of the upstream
+        self.latency += weight * (min(latency, max(3 * self.latency, 1.0) if self.samples > 3 else latency)
+                                  - self.latency)
         self.depth += weight * (depth - self.depth)
         if now - self.lowest_since > LOWEST_SPAN:
             self.lowest_since, self.lowest_before, self.lowest = now, self.lowest, inf
@@ -119,7 +122,7 @@
 
     def predicted(self) -> float:
         """The latency of one more: the measured one, scaled by what it holds now, others' included."""
-        others = self.rivals * self.depth
+        others = 1 + self.rivals * self.depth
         return self.latency * (len(self.out) + 1 + others) / (self.depth + others)
 
     def marked(self, mean_latency: float) -> bool:
@@ -236,6 +239,7 @@
         self._taken = 0
         self._asked = 0.0  # visits a second that we are asked
         self._short_at = -inf  # room was last short then
+        self._short = 0.0  # how short room is: 0 when all visits find some
         self._second_at = now
         host.wake(now + BEAT, self._beat)
 
@@ -292,7 +296,9 @@
         visit = Visit(self, tag, lane, now, ttl, key)
         self._taken += 1
         self._mean_gain += 0.005 * (lane.gain - self._mean_gain)
-        if not self._place(visit, now):
+        placed = self._place(visit, now)
+        self._short += 0.05 * ((0.0 if placed else SHORT) - self._short)
+        if not placed:
             self._hold(visit, now)
         return visit
 
@@ -451,7 +457,7 @@
     def _patience(self, visit: Visit, fee: float) -> float:
         """The predicted latency that a visit accepts: more for more gain, so that low gain yields first."""
         gain = max(0.0, visit.lane.gain - fee)
-        return PATIENCE * (visit.target_at - visit.came) * gain / (gain + self._mean_gain)
+        return PATIENCE * (visit.target_at - visit.came) * gain / (gain + self._short * self._mean_gain + 1e-9)
 
     def _lower_of_two(self, level: list[Upstream], visit: Visit, now: float,
                       patience: float) -> Upstream | None:
