--- a/ospreyline/decide.py
+++ b/ospreyline/decide.py
@@ -31,8 +31,7 @@
 BEAT = 50.0  # ms between two rounds of periodic work
 FORGET = 4_000.0  # ms in which an idle upstream's slowness fades
 SMOOTH = 0.1  # weight of a new sample in smoothed figures
-PATIENCE = 0.6  # share of the target latency that a visit of great gain accepts as predicted latency
-SHORT = 4.0
+PATIENCE = 0.9  # share of the target latency that a visit of great gain accepts as predicted latency
 FURTHER = 2  # further backend fetches of a visit
 COLD_SHARE = 0.7  # of the cold budget that is used: the capacity is a guess
 PROBE_SPEND = 0.002  # of the gain, the most that probes may cost
@@ -122,7 +121,7 @@
 
     def predicted(self) -> float:
         """The latency of one more: the measured one, scaled by what it holds now, others' included."""
-        others = 1 + self.rivals * self.depth
+        others = self.rivals * self.depth
         return self.latency * (len(self.out) + 1 + others) / (self.depth + others)
 
     def marked(self, mean_latency: float) -> bool:
@@ -239,7 +238,6 @@
         self._taken = 0
         self._asked = 0.0  # visits a second that we are asked
         self._short_at = -inf  # room was last short then
-        self._short = 0.0  # how short room is: 0 when all visits find some
         self._second_at = now
         host.wake(now + BEAT, self._beat)
 
@@ -296,9 +294,7 @@
         visit = Visit(self, tag, lane, now, ttl, key)
         self._taken += 1
         self._mean_gain += 0.005 * (lane.gain - self._mean_gain)
-        placed = self._place(visit, now)
-        self._short += 0.05 * ((0.0 if placed else SHORT) - self._short)
-        if not placed:
+        if not self._place(visit, now):
             self._hold(visit, now)
         return visit
 
@@ -457,7 +453,7 @@
     def _patience(self, visit: Visit, fee: float) -> float:
         """The predicted latency that a visit accepts: more for more gain, so that low gain yields first."""
         gain = max(0.0, visit.lane.gain - fee)
-        return PATIENCE * (visit.target_at - visit.came) * gain / (gain + self._short * self._mean_gain + 1e-9)
+        return PATIENCE * (visit.target_at - visit.came) * gain / (gain + self._mean_gain)
 
     def _lower_of_two(self, level: list[Upstream], visit: Visit, now: float,
                       patience: float) -> Upstream | None:
