--- a/ospreyline/decide.py
+++ b/ospreyline/decide.py
@@ -29,7 +29,7 @@
 HIGH_REPORT = 2.0  # a faded report this many times the mean counts half
 
 BEAT = 50.0  # ms between two rounds of periodic work
-FORGET = 4_000.0  # ms in which an idle upstream's slowness fades
+FORGET = 2_000.0  # ms in which an idle upstream's slowness fades
 SMOOTH = 0.1  # weight of a new sample in smoothed figures
 PATIENCE = 0.9  # share of the target latency that a visit of great gain accepts as predicted latency
 FURTHER = 2  # further backend fetches of a visit
@@ -61,8 +61,8 @@
     """All that is known of one upstream."""
 
     __slots__ = ("cell", "cold_sends", "depth", "failing", "full_at", "id", "latency", "lowest",
-                 "lowest_before", "lowest_since", "mark", "out", "probed_at", "rate", "ready", "report",
-                 "report_at", "rivals", "run", "samples", "sent_at", "served", "since", "start", "trial_at",
+                 "lowest_before", "lowest_since", "mark", "measured_at", "out", "probed_at", "rate", "ready",
+                 "report", "report_at", "rivals", "run", "samples", "sent_at", "served", "since", "start", "trial_at",
                  "trial_out", "zone")
 
     def __init__(self, line: Listed, rivals: float) -> None:
@@ -83,6 +83,7 @@
         self.lowest = self.lowest_before = inf
         self.lowest_since = 0.0
         self.samples = 0
+        self.measured_at = -inf
         self.rivals = rivals  # what other balancers have out to it, as a multiple of ours
         self.depth = 1.0  # fetches of ours that it held when sent the ones measured, smoothed alike
         self.report = 0.0
@@ -109,7 +110,9 @@
     def smooth(self, now: float, latency: float, depth: int) -> None:
         """Take in how long a fetch took that was sent as the depth-th one out."""
         self.samples += 1
-        weight = max(SMOOTH, 1 / self.samples)
+        # the longer the last sample is past, the more the new one says
+        weight = max(SMOOTH, 1 / self.samples, 1 - exp((self.measured_at - now) / FORGET))
+        self.measured_at = now
         # guards: one heavy visit says little of the upstream
         self.latency += weight * (min(latency, max(3 * self.latency, 1.0) if self.samples > 3 else latency)
                                   - self.latency)
@@ -231,6 +234,7 @@
         self._order = [(terms.zone + i) % terms.zones for i in range(terms.zones)]  # own first
         self._mean_report = 0.0
         self._mean_latency = 0.0
+        self._base = inf  # mean of the lowest latencies
         self._mean_gain = sum(lane.gain for lane in self._lanes) / max(1, len(self._lanes))
         self._held = 0
         self._flow = 0.0  # visits a second that we see delivered
@@ -582,9 +586,9 @@
                 late = now - next(iter(u.out)).sent
                 if late > 2 * u.latency:
                     u.latency += SMOOTH * (late - u.latency)
-            elif u.lowest < u.latency:
+            elif self._base < u.latency:
                 # guards: one passed over for being slow is never measured again, so that fades
-                u.latency += BEAT / FORGET * (u.lowest - u.latency)
+                u.latency += BEAT / FORGET * (self._base - u.latency)
         self._rank(now)
         if self._held:
             self._drain(now)
@@ -613,6 +617,8 @@
         ready = self._ready = [u for u in self._upstreams.values() if u.ready]
         heard = [u.report * exp((u.report_at - now) / FADE) for u in ready if u.report_at > -inf]
         self._mean_report = sum(heard) / len(heard) if heard else 0.0
+        lowest = [low for u in ready if (low := min(u.lowest, u.lowest_before)) < inf]
+        self._base = sum(lowest) / len(lowest) if lowest else inf
         latencies = [u.latency for u in ready if u.latency]
         self._mean_latency = sum(latencies) / len(latencies) if latencies else 0.0
         counts = [0.0] * self._zones
