--- a/ospreyline/decide.py
+++ b/ospreyline/decide.py
@@ -30,7 +30,9 @@
 
 BEAT = 50.0  # ms between two rounds of periodic work
 FORGET = 2_000.0  # ms in which an idle upstream's slowness fades
+FADE_COUNTS = 0.9  # what is left after a second of the counts of visits
 SMOOTH = 0.1  # weight of a new sample in smoothed figures
+YIELD = 1.0  # how much sooner visits of little gain yield
 PATIENCE = 0.9  # share of the target latency that a visit of great gain accepts as predicted latency
 FURTHER = 2  # further backend fetches of a visit
 COLD_SHARE = 0.7  # of the cold budget that is used: the capacity is a guess
@@ -41,8 +43,8 @@
 class Lane:
     """A path prefix: its terms, what has been learnt of it, and its visits that wait for room."""
 
-    __slots__ = ("gain", "held", "kind", "late_gain", "latency", "scope", "target", "time_out", "usual_ttl",
-                 "window")
+    __slots__ = ("arrived", "gain", "held", "in_time", "kind", "late_gain", "latency", "scope", "target",
+                 "time_out", "usual_ttl", "value", "window")
 
     def __init__(self, terms: PathPrefix) -> None:
         self.kind = terms.kind
@@ -50,7 +52,10 @@
         self.window = terms.window
         self.target = terms.target_latency
         self.time_out = terms.client_timeout
+        self.value = terms.gain  # what one delivered in time adds to the goal, 1 on the mean
         self.gain = terms.gain
+        self.arrived = 0.0  # of late, fading
+        self.in_time = 0.0  # of those, delivered within the target latency
         self.late_gain = terms.late_gain
         self.latency = 0.2 * terms.target_latency  # smoothed, of delivered visits
         self.usual_ttl = 0.0  # the longest a client has given a try: a first try's
@@ -235,7 +240,7 @@
         self._mean_report = 0.0
         self._mean_latency = 0.0
         self._base = inf  # mean of the lowest latencies
-        self._mean_gain = sum(lane.gain for lane in self._lanes) / max(1, len(self._lanes))
+        self._worst_prefix = terms.worst_prefix
         self._held = 0
         self._flow = 0.0  # visits a second that we see delivered
         self._delivered = 0
@@ -297,7 +302,7 @@
         lane.usual_ttl = max(lane.usual_ttl, ttl)
         visit = Visit(self, tag, lane, now, ttl, key)
         self._taken += 1
-        self._mean_gain += 0.005 * (lane.gain - self._mean_gain)
+        lane.arrived += 1
         if not self._place(visit, now):
             self._hold(visit, now)
         return visit
@@ -315,6 +320,7 @@
         if final and not visit.done:
             if end is End.DELIVERED:
                 visit.lane.latency += 0.05 * (spent - visit.lane.latency)
+                visit.lane.in_time += now <= visit.target_at
                 self._delivered += 1
             self._close(visit, now)
         elif not visit.done and not visit.out:
@@ -442,7 +448,7 @@
         drawn = self._random() * self._shares[-1][0]
         zone = next((z for total, z in self._shares if drawn < total), self._zone)
         home = self._patience(visit, 0.0)
-        away = self._patience(visit, self._cross_fee * self._mean_gain)
+        away = self._patience(visit, self._cross_fee)
         u = self._lower_of_two(self._levels[zone], visit, now, home if zone == self._zone else away)
         if u is None and away > 0:
             # E1: the drawn level has no room within the target latency; crossing costs less than the visit
@@ -456,8 +462,8 @@
 
     def _patience(self, visit: Visit, fee: float) -> float:
         """The predicted latency that a visit accepts: more for more gain, so that low gain yields first."""
-        gain = max(0.0, visit.lane.gain - fee)
-        return PATIENCE * (visit.target_at - visit.came) * gain / (gain + self._mean_gain)
+        value = max(0.0, visit.lane.value - fee)
+        return PATIENCE * (visit.target_at - visit.came) * (value / (value + 1)) ** YIELD
 
     def _lower_of_two(self, level: list[Upstream], visit: Visit, now: float,
                       patience: float) -> Upstream | None:
@@ -610,8 +616,24 @@
             if u.ready and not u.failing and now - u.start >= self._warm_within:
                 totals[u.zone][0] += u.rate
                 totals[u.zone][1] += 1
+        self._weigh()
         self._capacity = max(0.99 * self._capacity, *(t / n if n else 0.0 for t, n in totals))
 
+    def _weigh(self) -> None:
+        """What a visit of each path prefix adds to the goal: its gain, and more where it is served worst."""
+        arrived = sum(lane.arrived for lane in self._lanes)
+        if not arrived:
+            return
+        mean = sum(lane.gain * lane.arrived for lane in self._lanes) / arrived or 1.0
+        kept = [lane.in_time / lane.arrived if lane.arrived >= 1 else 1.0 for lane in self._lanes]
+        need = [exp((min(kept) - k) / 0.05) for k in kept]
+        for lane, n in zip(self._lanes, need, strict=True):
+            worst = n / sum(need) * arrived / max(1.0, lane.arrived)
+            lane.value = (1 - self._worst_prefix) * lane.gain / mean + self._worst_prefix * worst
+            lane.arrived *= FADE_COUNTS
+            lane.in_time *= FADE_COUNTS
+        self._by_gain.sort(key=lambda lane: -lane.value)
+
     def _rank(self, now: float) -> None:
         """Healths, shares and candidates, from what each record says now."""
         ready = self._ready = [u for u in self._upstreams.values() if u.ready]
--- a/ospreyline/drill/facts.py
+++ b/ospreyline/drill/facts.py
@@ -35,6 +35,16 @@
     probe: float = 0.0
 
 
+class _Goal(_Wire):
+    whole: float = 1.0
+    worst_class: float = 0.0
+    worst_tenant: float = 0.0
+    worst_window: float = 0.0
+
+    def total(self) -> float:
+        return self.whole + self.worst_class + self.worst_tenant + self.worst_window
+
+
 class _Feedback(_Wire):
     fields: list[str] = []
     via: str = "silent"
@@ -59,10 +69,10 @@
     balancers: int = 1
     dcs: list[str] = []
     discovery: str = "push"
-    gain_per: str = "request"
     caps: _Caps = msgspec.field(default_factory=_Caps)
     domain: _Domain = msgspec.field(default_factory=_Domain)
     fees: _Fees = msgspec.field(default_factory=_Fees)
+    goal: _Goal = msgspec.field(default_factory=_Goal)
     feedback: _Feedback = msgspec.field(default_factory=_Feedback)
     invariants: _Invariants = msgspec.field(default_factory=_Invariants)
 
@@ -117,7 +127,7 @@
         tip_after=rules.tip_after_us / 1e3,
         cross_fee=facts.fees.cross_zone,
         probe_fee=facts.fees.probe,
-        gain_by_work=facts.gain_per == "work",
+        worst_prefix=facts.goal.worst_class / max(1e-9, facts.goal.total()),
         warm_keys=facts.domain.warm_keys,
         report_fields=tuple(_REPORT_WORDS.get(f, f) for f in facts.feedback.fields),
     )
--- a/ospreyline/host.py
+++ b/ospreyline/host.py
@@ -101,7 +101,7 @@
     tip_after: float = 2_000.0
     cross_fee: float = 0.0  # share of the mean gain, for each backend fetch to another zone
     probe_fee: float = 0.0
-    gain_by_work: bool = False
+    worst_prefix: float = 0.0  # weight of the worst-served path prefix in the goal
     warm_keys: bool = False
     report_fields: tuple[str, ...] = field(default=())  # in-flight, queue, util, latency, rate, errors
 
