Held visits are all looked at in time; second copies at home where they are allowed

Cause of the lost visit: only the first held visit of a path prefix was checked, one behind it with an earlier end was not.

--- a/ospreyline/decide.py
+++ b/ospreyline/decide.py
@@ -13,6 +13,7 @@
 from __future__ import annotations
 
 from collections import deque
+from functools import partial
 from math import exp, inf
 from random import Random
 
@@ -32,8 +33,8 @@
 FORGET = 2_000.0  # ms in which an idle upstream's slowness fades
 FADE_COUNTS = 0.9  # what is left after a second of the counts of visits
 SMOOTH = 0.1  # weight of a new sample in smoothed figures
-YIELD = 1.0  # how much sooner visits of little gain yield
 PATIENCE = 0.9  # share of the target latency that a visit of great gain accepts as predicted latency
+COPY_AFTER = 2.0  # times the smoothed latency of a path prefix, then a second copy may go
 FURTHER = 2  # further backend fetches of a visit
 COLD_SHARE = 0.7  # of the cold budget that is used: the capacity is a guess
 PROBE_SPEND = 0.002  # of the gain, the most that probes may cost
@@ -67,8 +68,8 @@
 
     __slots__ = ("cell", "cold_sends", "depth", "failing", "full_at", "id", "latency", "lowest",
                  "lowest_before", "lowest_since", "mark", "measured_at", "out", "probed_at", "rate", "ready",
-                 "report", "report_at", "rivals", "run", "samples", "sent_at", "served", "since", "start", "trial_at",
-                 "trial_out", "zone")
+                 "report", "report_at", "rivals", "run", "samples", "sent_at", "served", "since",
+                 "start", "trial_at", "trial_out", "zone")
 
     def __init__(self, line: Listed, rivals: float) -> None:
         self.id = line.upstream
@@ -413,6 +414,8 @@
         visit.out += 1
         u.out[f] = None
         u.sent_at = now
+        if self._may_copy and visit.lane.kind is not Kind.MUTATING and visit.out == 1:
+            self._host.wake(now + COPY_AFTER * visit.lane.latency, partial(self._copy, visit))
         if visit.held:
             visit.held = False
             self._held -= 1
@@ -422,8 +425,7 @@
         """Answer at once: a bounce where that is true, else an error."""
         if self._may_bounce(visit):
             # overload: clients come back when it may have passed; else soon
-            short = now - self._short_at < 1_000
-            self._host.bounce(visit.tag, self._longest_advice * (1.0 if short else 0.25))
+            self._host.bounce(visit.tag, self._longest_advice * (1.0 if self._overload(now) else 0.25))
         else:
             self._host.fail(visit.tag)
         self._close(visit, now)
@@ -463,7 +465,7 @@
     def _patience(self, visit: Visit, fee: float) -> float:
         """The predicted latency that a visit accepts: more for more gain, so that low gain yields first."""
         value = max(0.0, visit.lane.value - fee)
-        return PATIENCE * (visit.target_at - visit.came) * (value / (value + 1)) ** YIELD
+        return PATIENCE * (visit.target_at - visit.came) * value / (value + 1)
 
     def _lower_of_two(self, level: list[Upstream], visit: Visit, now: float,
                       patience: float) -> Upstream | None:
@@ -529,7 +531,8 @@
 
     def _hold_until(self, visit: Visit) -> float:
         """Until then a visit may wait and still be answered in time."""
-        return visit.target_at - self._patience(visit, 0.0)
+        # guards: periodic work looks at held visits, so the last look must fall before the client timeout
+        return min(visit.target_at - self._patience(visit, 0.0), visit.expires - 2 * BEAT)
 
     def _drain(self, now: float) -> None:
         """Room may have come: the visits of the highest gain that still can be in time go first."""
@@ -556,11 +559,21 @@
                 if not self._place(visit, now):
                     self._hold(visit, now)
                 return
-            overload = self._held or now - self._short_at < 1_000
-            if not overload and now < visit.target_at and self._place(visit, now):
+            if not self._overload(now) and now < visit.target_at and self._place(visit, now):
                 return
         self._give_up(visit, now)
 
+    def _copy(self, visit: Visit, now: float) -> None:
+        """A fetch takes long: where a second copy may be out, it goes to an upstream with room, at home."""
+        if visit.done or visit.out != 1 or self._overload(now) or now >= visit.target_at:
+            return
+        u = self._lower_of_two(self._levels[self._zone], visit, now, 0.5 * (visit.target_at - now))
+        if u is not None:
+            self._send(visit, u, now)
+
+    def _overload(self, now: float) -> bool:
+        return self._held > 0 or now - self._short_at < 1_000
+
     def _time_out(self, visit: Visit, now: float) -> float:
         """How long a fetch may take: less than the client waits only where another one could follow."""
         lane = visit.lane
@@ -597,6 +610,10 @@
                 u.latency += BEAT / FORGET * (self._base - u.latency)
         self._rank(now)
         if self._held:
+            for lane in self._lanes:
+                # guards: one behind another that may wait longer must be answered in time, too
+                for visit in [v for v in lane.held if v.held and now > self._hold_until(v)]:
+                    self._give_up(visit, now)
             self._drain(now)
         self._follow(now)
         if self._may_probe:
