--- a/ospreyline/decide.py
+++ b/ospreyline/decide.py
@@ -505,9 +505,9 @@
 
     def _score(self, u: Upstream, now: float) -> float:
         """Own fetches out and the reported load, fading; one unheard takes the others' mean."""
-        if u.report_at > -inf:
-            return len(u.out) + u.report * exp((u.report_at - now) / FADE)
-        return len(u.out) + self._mean_report
+        load = u.report * exp((u.report_at - now) / FADE) if u.report_at > -inf else self._mean_report
+        # E4: upstreams differ in speed, so what each holds counts by the time it takes for it
+        return (len(u.out) + load + 1) * u.latency / u.depth
 
     # -- waiting, further fetches -------------------------------------------------------------------------
 
