An upstream whose fresh report says it is not busy has room for one

Cause: upstreams of other levels were kept shut by rare, old latencies while probes showed them idle.

--- a/ospreyline/decide.py
+++ b/ospreyline/decide.py
@@ -34,6 +34,8 @@
 FADE_COUNTS = 0.9  # what is left after a second of the counts of visits
 SMOOTH = 0.1  # weight of a new sample in smoothed figures
 PATIENCE = 0.9  # share of the target latency that a visit of great gain accepts as predicted latency
+IDLE = 0.75  # a report under this tells of idle cores (util) or of nobody waiting (queue)
+UNCROWDED = 3.0  # visits that any upstream may hold at a time, however slow it is
 COPY_AFTER = 2.0  # times the smoothed latency of a path prefix, then a second copy may go
 FURTHER = 2  # further backend fetches of a visit
 COLD_SHARE = 0.7  # of the cold budget that is used: the capacity is a guess
@@ -499,15 +501,18 @@
         """Whether an upstream is predicted to answer one more within the patience."""
         if u.predicted() <= max(patience, 1.5 * u.lowest if u.lowest < inf and not u.out else 0.0):
             return True
-        # guards: a crowded one still gets one now and then, to be measured; all balancers do so at once, so
-        # each only as often as its part of what the upstream does
-        return not u.out and now - u.sent_at >= self._balancers * u.latency
+        # guards: a slow one still gets one now and then, to be measured; all balancers do so at once, so
+        # each only as often as leaves the upstream UNCROWDED of them at a time
+        if not u.out and u.report < IDLE and now - u.report_at < 1.5 * PROBE_EVERY:
+            return True  # it says itself that it is not busy
+        crowd = self._balancers / UNCROWDED - 1 if u.zone == self._zone else self._balancers
+        return not u.out and now - u.sent_at >= crowd * u.latency
 
     def _score(self, u: Upstream, now: float) -> float:
         """Own fetches out and the reported load, fading; one unheard takes the others' mean."""
-        load = u.report * exp((u.report_at - now) / FADE) if u.report_at > -inf else self._mean_report
-        # E4: upstreams differ in speed, so what each holds counts by the time it takes for it
-        return (len(u.out) + load + 1) * u.latency / u.depth
+        if u.report_at > -inf:
+            return len(u.out) + u.report * exp((u.report_at - now) / FADE)
+        return len(u.out) + self._mean_report
 
     # -- waiting, further fetches -------------------------------------------------------------------------
 
