--- a/ospreyline/decide.py
+++ b/ospreyline/decide.py
@@ -119,7 +119,7 @@
         """Take in how long a fetch took that was sent as the depth-th one out."""
         self.samples += 1
         # the longer the last sample is past, the more the new one says
-        weight = max(SMOOTH, 1 / self.samples, 1 - exp((self.measured_at - now) / FORGET))
+        weight = max(SMOOTH, 1 / (self.samples + 3), 1 - exp((self.measured_at - now) / FORGET))
         self.measured_at = now
         # guards: one heavy visit says little of the upstream
         self.latency += weight * (min(latency, max(3 * self.latency, 1.0) if self.samples > 3 else latency)
@@ -132,7 +132,7 @@
 
     def predicted(self) -> float:
         """The latency of one more: the measured one, scaled by what it holds now, others' included."""
-        others = self.rivals * self.depth
+        others = self.rivals * (self.depth - 1)
         return self.latency * (len(self.out) + 1 + others) / (self.depth + others)
 
     def marked(self, mean_latency: float) -> bool:
@@ -242,6 +242,8 @@
         self._order = [(terms.zone + i) % terms.zones for i in range(terms.zones)]  # own first
         self._mean_report = 0.0
         self._mean_latency = 0.0
+        # guards: the first answers are the short ones; until more are in, nothing is thought to be fast
+        self._first_guess = 0.2 * min((lane.target for lane in self._lanes), default=0.0)
         self._base = inf  # mean of the lowest latencies
         self._worst_prefix = terms.worst_prefix
         self._held = 0
@@ -663,7 +665,7 @@
         self._mean_report = sum(heard) / len(heard) if heard else 0.0
         lowest = [low for u in ready if (low := min(u.lowest, u.lowest_before)) < inf]
         self._base = sum(lowest) / len(lowest) if lowest else inf
-        latencies = [u.latency for u in ready if u.latency]
+        latencies = [u.latency for u in ready if u.samples]
         self._mean_latency = sum(latencies) / len(latencies) if latencies else 0.0
         counts = [0.0] * self._zones
         totals = [0] * self._zones
@@ -671,8 +673,8 @@
         self._due = []
         for u in ready:
             totals[u.zone] += 1
-            if not u.latency and self._mean_latency:
-                u.latency = self._mean_latency / max(0.25, self._warmth(u, now))
+            if not u.samples:
+                u.latency = max(self._mean_latency, self._first_guess) / max(0.25, self._warmth(u, now))
             if u.failing:
                 if now >= u.trial_at:
                     self._due.append(u)
