--- /dev/null
+++ b/tests/test_path.py
@@ -0,0 +1,143 @@
+"""The ordinary path of the design page, and the failures that its exceptions answer."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+import pytest
+from fake_host import FakeHost, listed, prefix
+
+from ospreyline.decide import FACTOR, HOLD_DOWN, shares
+from ospreyline.host import End, Kind
+
+
+@pytest.mark.parametrize(
+    ("healthy", "expected"),
+    [
+        # the worked table of the source, with one priority a zone
+        ([100, 100], [100, 0]),
+        ([72, 100], [100, 0]),
+        ([71, 100], [99, 1]),
+        ([50, 50], [70, 30]),
+        ([20, 20], [50, 50]),
+        ([0, 100], [0, 100]),
+        ([0, 72], [0, 100]),
+        ([20, 20, 10, 25, 25], [28, 28, 14, 30, 0]),
+        ([0, 0], [0, 0]),
+    ],
+)
+def test_shares_fill_in_order(healthy, expected):
+    totals = shares(list(range(len(healthy))), [min(100.0, FACTOR * h) for h in healthy])
+    got, before = [0.0] * len(healthy), 0.0
+    for total, zone in totals:
+        got[zone], before = total - before, total
+    assert got == pytest.approx(expected, abs=0.7)
+
+
+def test_own_zone_first_and_the_less_loaded_of_two():
+    host = FakeHost([listed(i, zone=i % 3) for i in range(9)])
+    visits = [host.take() for _ in range(6)]
+    assert Counter(v.fetches[0].upstream.id for v in visits) == {0: 2, 3: 2, 6: 2}
+
+
+@pytest.mark.parametrize("end", [End.ERRORED, End.UNREACHED, End.RESET])
+def test_a_run_of_failures_ejects_and_one_trial_brings_back(end):
+    host = FakeHost([listed(i) for i in range(4)])
+    for _ in range(40):
+        host.serve(1, lambda u: end if u == 2 else End.DELIVERED)
+        if host.balancer._upstreams[2].failing:
+            break
+    assert 2 not in host.serve(50)
+    host.pass_time(HOLD_DOWN)
+    trials = [host.take() for _ in range(3)]
+    assert [v.fetches[0].upstream.id for v in trials].count(2) == 1
+    for visit in trials:
+        host.end(visit, End.DELIVERED)
+    host.pass_time(5_000)
+    assert 2 in host.serve(100)
+
+
+def test_full_answers_do_not_eject():
+    host = FakeHost([listed(i) for i in range(3)])
+    host.serve(100, lambda u: End.FULL if u == 1 else End.DELIVERED)
+    assert not host.balancer._upstreams[1].failing
+
+
+def test_with_all_health_gone_all_ready_ones_are_drawn():
+    host = FakeHost([listed(i, zone=i) for i in range(3)])
+    for u in host.balancer._upstreams.values():
+        u.failing, u.trial_at = True, host.now + 1e9
+    host.pass_time(100)
+    visits = [host.take() for _ in range(9)]
+    assert {v.fetches[0].upstream.id for v in visits} == {0, 1, 2}
+
+
+def test_a_slow_upstream_is_measured_again_and_not_locked_out():
+    # met on the first scores: one that was slow once got no visits and so stayed slow for us
+    host = FakeHost([listed(0), listed(1)])
+    slow = host.balancer._upstreams[0]
+    host.serve(40)
+    slow.latency = 5_000.0
+    host.pass_time(8_000)
+    assert 0 in host.serve(40)
+
+
+def test_a_stuck_upstream_shows_by_the_age_of_what_it_holds():
+    host = FakeHost([listed(0), listed(1)], prefixes=(prefix(Kind.MUTATING),))
+    host.serve(40)
+    stuck = host.balancer._upstreams[0]
+    while (visit := host.take()).fetches[0].upstream is not stuck:
+        host.end(visit, End.DELIVERED)
+    before = stuck.latency
+    host.pass_time(900)
+    assert stuck.latency > 2 * before
+
+
+def test_one_that_errors_fast_does_not_look_idle():
+    host = FakeHost([listed(0), listed(1)])
+    turn = iter(range(10_000))
+    ends = {0: lambda: End.ERRORED if next(turn) % 3 else End.DELIVERED}
+    host.serve(300, lambda u: ends.get(u, lambda: End.DELIVERED)())
+    bad, good = host.balancer._upstreams[0], host.balancer._upstreams[1]
+    assert bad.failing or bad.latency > 3 * good.latency
+
+
+def test_a_level_without_room_passes_visits_on_while_crossing_pays():
+    cheap, dear = FakeHost([listed(0), listed(1, zone=1)], cross_fee=0.1), FakeHost(
+        [listed(0), listed(1, zone=1)], cross_fee=2.0)
+    for host in (cheap, dear):
+        host.serve(30)
+        for _ in range(25):
+            host.take()
+    assert any(u == 1 for _, u, _, _ in cheap.sends)
+    assert not any(u == 1 for _, u, _, _ in dear.sends)
+
+
+def test_little_gain_yields_first_when_room_is_short():
+    lanes = (prefix(Kind.MUTATING, gain=1.0), prefix(Kind.MUTATING, gain=9.0))
+    host = FakeHost([listed(0), listed(1)], prefixes=lanes)
+    sent = [0, 0]
+    for _ in range(60):
+        for lane in (0, 1):
+            visit = host.take(lane)
+            sent[lane] += bool(visit.fetches)
+        if host.sends and len(host.sends) % 3 == 0:
+            host.pass_time(5)
+    assert sent[1] > sent[0]
+
+
+def test_a_crowd_of_balancers_does_not_flood_an_unknown_fleet():
+    # met on an incident: short answers came first, everything looked fast, all upstreams were overrun
+    host = FakeHost([listed(i) for i in range(4)], balancers=12)
+    for _ in range(200):
+        host.take()
+    assert len(host.sends) <= 4 * 6
+
+
+def test_the_same_events_lead_to_the_same_sends():
+    runs = []
+    for _ in range(2):
+        host = FakeHost([listed(i, zone=i % 3) for i in range(9)], warm_keys=True)
+        host.serve(200, lambda u: End.RESET if u == 3 else End.DELIVERED)
+        runs.append(host.sends)
+    assert runs[0] == runs[1]
