--- a/ospreyline/decide.py
+++ b/ospreyline/decide.py
@@ -158,14 +158,13 @@
 class Visit:
     """The handle of a visit that was taken."""
 
-    __slots__ = ("_balancer", "came", "done", "expires", "fetches", "held", "key", "lane", "out", "tag",
+    __slots__ = ("_balancer", "came", "done", "expires", "fetches", "held", "lane", "out", "tag",
                  "target_at")
 
     def __init__(self, balancer: Balancer, tag: int, lane: Lane, now: float, ttl: float, key: int) -> None:
         self._balancer = balancer
         self.tag = tag
         self.lane = lane
-        self.key = key
         self.came = now
         self.expires = now + ttl
         # a try that is given less time than others is a later one: its target latency began before
@@ -227,7 +226,6 @@
         # sends a window at whole capacity of one a second: our part of what all balancers may send
         self._cold_budget = COLD_SHARE * terms.overload_factor * terms.tip_after / 1e3 / terms.balancers
         self._capacity = 0.0  # visits a second that a warm upstream is seen to carry for us
-        self._warm_keys = terms.warm_keys
         fields = terms.report_fields
         self._load_field = next((fields.index(f) for f in ("in-flight", "queue", "util") if f in fields), -1)
         self._must_ask_in = terms.must_ask_in if terms.ask_for_list else inf
@@ -485,15 +483,9 @@
         n = len(fit)
         if n == 1:
             return fit[0]
-        if self._warm_keys and visit.key:
-            # E2: where upstreams remember keys, the two are drawn by the key, the same for all its visits
-            key = visit.key
-            fit.sort(key=lambda u: (key ^ u.mark * 0x9E3779B97F4A7C15) * 0xD6E8FEB86659FD93 >> 24 & 0xFFFFFFF)
-            a, b = fit[0], fit[1]
-        else:
-            i = int(self._random() * n)
-            j = int(self._random() * (n - 1))
-            a, b = fit[i], fit[j if j < i else j + 1]
+        i = int(self._random() * n)
+        j = int(self._random() * (n - 1))
+        a, b = fit[i], fit[j if j < i else j + 1]
         x, y = self._score(a, now), self._score(b, now)
         if x == y:
             return a if self._random() < 0.5 else b
