--- a/ospreyline/decide.py
+++ b/ospreyline/decide.py
@@ -451,18 +451,24 @@
             return u is not None and self._send(visit, u, now)
         drawn = self._random() * self._shares[-1][0]
         zone = next((z for total, z in self._shares if drawn < total), self._zone)
-        home = self._patience(visit, 0.0)
-        away = self._patience(visit, self._cross_fee)
-        u = self._lower_of_two(self._levels[zone], visit, now, home if zone == self._zone else away)
-        if u is None and away > 0:
-            # E1: the drawn level has no room within the target latency; crossing costs less than the visit
-            # gains, so the next level with room takes it
+        patience = self._patience(visit, self._cross_fee if zone != self._zone else 0.0)
+        best = self._lower_of_two(self._levels[zone], visit, now, patience)
+        cost = self._cost(visit, best) if best else visit.lane.value
+        if cost > self._cross_fee:
+            # E1: the drawn level has no room, or waiting there costs more than crossing: another level takes
+            # the visit if its wait and the fee cost less
             for z in self._order:
                 if z != zone:
-                    u = self._lower_of_two(self._levels[z], visit, now, home if z == self._zone else away)
-                    if u is not None:
-                        break
-        return u is not None and self._send(visit, u, now)
+                    patience = self._patience(visit, self._cross_fee if z != self._zone else 0.0)
+                    u = self._lower_of_two(self._levels[z], visit, now, patience)
+                    if u and (c := self._cost(visit, u)) < cost:
+                        best, cost = u, c
+        return best is not None and self._send(visit, best, now)
+
+    def _cost(self, visit: Visit, u: Upstream) -> float:
+        """What a visit stands to lose at an upstream, by its wait and the fee, in the unit of its value."""
+        late = exp((visit.came - visit.target_at) / max(1e-3, u.predicted()))  # were waits exponential
+        return visit.lane.value * late + (self._cross_fee if u.zone != self._zone else 0.0)
 
     def _patience(self, visit: Visit, fee: float) -> float:
         """The predicted latency that a visit accepts: more for more gain, so that low gain yields first."""
