--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -35,7 +35,7 @@
 
 
 def test_own_zone_first_and_the_less_loaded_of_two():
-    host = FakeHost([listed(i, zone=i % 3) for i in range(9)])
+    host = FakeHost([listed(i, zone=i % 3) for i in range(9)], cross_fee=0.5)
     visits = [host.take() for _ in range(6)]
     assert Counter(v.fetches[0].upstream.id for v in visits) == {0: 2, 3: 2, 6: 2}
 
