--- a/ospreyline/decide.py
+++ b/ospreyline/decide.py
@@ -35,6 +35,7 @@
 SMOOTH = 0.1  # weight of a new sample in smoothed figures
 PATIENCE = 0.9  # share of the target latency that a visit of great gain accepts as predicted latency
 IDLE = 0.75  # a report under this tells of idle cores (util) or of nobody waiting (queue)
+FIRST_GUESS = 0.2  # of the shortest target latency: an upstream's latency until it is measured
 UNCROWDED = 3.0  # visits that any upstream may hold at a time, however slow it is
 COPY_AFTER = 2.0  # times the smoothed latency of a path prefix, then a second copy may go
 FURTHER = 2  # further backend fetches of a visit
@@ -46,7 +47,7 @@
 class Lane:
     """A path prefix: its terms, what has been learnt of it, and its visits that wait for room."""
 
-    __slots__ = ("arrived", "gain", "held", "in_time", "kind", "late_gain", "latency", "scope", "target",
+    __slots__ = ("arrived", "gain", "held", "in_time", "kind", "latency", "scope", "target",
                  "time_out", "usual_ttl", "value", "window")
 
     def __init__(self, terms: PathPrefix) -> None:
@@ -59,7 +60,6 @@
         self.gain = terms.gain
         self.arrived = 0.0  # of late, fading
         self.in_time = 0.0  # of those, delivered within the target latency
-        self.late_gain = terms.late_gain
         self.latency = 0.2 * terms.target_latency  # smoothed, of delivered visits
         self.usual_ttl = 0.0  # the longest a client has given a try: a first try's
         self.held: deque[Visit] = deque()
@@ -69,13 +69,12 @@
     """All that is known of one upstream."""
 
     __slots__ = ("cell", "cold_sends", "depth", "failing", "full_at", "id", "latency", "lowest",
-                 "lowest_before", "lowest_since", "mark", "measured_at", "out", "probed_at", "rate", "ready",
-                 "report", "report_at", "rivals", "run", "samples", "sent_at", "served", "since",
+                 "lowest_before", "lowest_since", "measured_at", "out", "probed_at", "rate", "ready",
+                 "report", "report_at", "run", "samples", "sent_at", "served", "since",
                  "start", "trial_at", "trial_out", "zone")
 
-    def __init__(self, line: Listed, rivals: float) -> None:
+    def __init__(self, line: Listed) -> None:
         self.id = line.upstream
-        self.mark = line.mark
         self.zone = line.zone
         self.cell = line.cell
         self.ready = False
@@ -92,7 +91,6 @@
         self.lowest_since = 0.0
         self.samples = 0
         self.measured_at = -inf
-        self.rivals = rivals  # what other balancers have out to it, as a multiple of ours
         self.depth = 1.0  # fetches of ours that it held when sent the ones measured, smoothed alike
         self.report = 0.0
         self.report_at = -inf
@@ -131,9 +129,8 @@
             self.lowest = min(self.lowest, self.latency)
 
     def predicted(self) -> float:
-        """The latency of one more: the measured one, scaled by what it holds now, others' included."""
-        others = self.rivals * (self.depth - 1)
-        return self.latency * (len(self.out) + 1 + others) / (self.depth + others)
+        """The latency of one more: the measured one, scaled by what we have out; others do as we do."""
+        return self.latency * (len(self.out) + 1) / self.depth
 
     def marked(self, mean_latency: float) -> bool:
         """Whether the latency mark holds: a slow upstream takes no part in its level's health."""
@@ -240,8 +237,10 @@
         self._order = [(terms.zone + i) % terms.zones for i in range(terms.zones)]  # own first
         self._mean_report = 0.0
         self._mean_latency = 0.0
-        # guards: the first answers are the short ones; until more are in, nothing is thought to be fast
-        self._first_guess = 0.2 * min((lane.target for lane in self._lanes), default=0.0)
+        # guards: the first answers are the short ones; until more are in, nothing is thought to be fast, the
+        # less the more balancers of this zone start at the same moment
+        self._first_guess = FIRST_GUESS * min((lane.target for lane in self._lanes), default=0.0)
+        self._first_guess *= max(1.0, terms.balancers / terms.zones)
         self._base = inf  # mean of the lowest latencies
         self._worst_prefix = terms.worst_prefix
         self._held = 0
@@ -271,9 +270,7 @@
             u = self._upstreams.get(line.upstream)
             new = u is None
             if u is None:
-                each = self._balancers / self._zones
-                rivals = max(0.0, each - 1) if line.zone == self._zone else each
-                u = self._upstreams[line.upstream] = Upstream(line, rivals)
+                u = self._upstreams[line.upstream] = Upstream(line)
             u.zone, u.cell = line.zone, line.cell
             was, u.ready = u.ready, line.readiness is Readiness.READY
             if not u.ready:
