--- a/ospreyline/decide.py
+++ b/ospreyline/decide.py
@@ -47,7 +47,7 @@
 class Lane:
     """A path prefix: its terms, what has been learnt of it, and its visits that wait for room."""
 
-    __slots__ = ("arrived", "gain", "held", "in_time", "kind", "latency", "scope", "target",
+    __slots__ = ("arrived", "gain", "held", "in_time", "kind", "late_gain", "latency", "scope", "target",
                  "time_out", "usual_ttl", "value", "window")
 
     def __init__(self, terms: PathPrefix) -> None:
@@ -58,6 +58,7 @@
         self.time_out = terms.client_timeout
         self.value = terms.gain  # what one delivered in time adds to the goal, 1 on the mean
         self.gain = terms.gain
+        self.late_gain = terms.late_gain
         self.arrived = 0.0  # of late, fading
         self.in_time = 0.0  # of those, delivered within the target latency
         self.latency = 0.2 * terms.target_latency  # smoothed, of delivered visits
@@ -580,6 +581,8 @@
         """How long a fetch may take: less than the client waits only where another one could follow."""
         lane = visit.lane
         left = visit.expires - now
+        if not lane.late_gain and now < visit.target_at:
+            left = min(left, visit.target_at - now)
         last = len(visit.fetches) >= min(FURTHER, self._max_fetches - 1)
         if last or lane.kind is Kind.MUTATING or self._held:
             return left
