--- a/ospreyline/decide.py
+++ b/ospreyline/decide.py
@@ -36,6 +36,7 @@
 PATIENCE = 0.9  # share of the target latency that a visit of great gain accepts as predicted latency
 IDLE = 0.75  # a report under this tells of idle cores (util) or of nobody waiting (queue)
 FIRST_GUESS = 0.2  # of the shortest target latency: an upstream's latency until it is measured
+SHORT_MEMORY = 10_000.0  # ms for which room that was short counts as short
 UNCROWDED = 3.0  # visits that any upstream may hold at a time, however slow it is
 COPY_AFTER = 2.0  # times the smoothed latency of a path prefix, then a second copy may go
 FURTHER = 2  # further backend fetches of a visit
@@ -581,8 +582,9 @@
         """How long a fetch may take: less than the client waits only where another one could follow."""
         lane = visit.lane
         left = visit.expires - now
-        if not lane.late_gain and now < visit.target_at:
-            left = min(left, visit.target_at - now)
+        if not lane.late_gain and now - self._short_at < SHORT_MEMORY and now < visit.target_at:
+            # E4: room is short and a late answer has no gain: the room it holds has
+            left = min(left, 0.99 * (visit.target_at - now))
         last = len(visit.fetches) >= min(FURTHER, self._max_fetches - 1)
         if last or lane.kind is Kind.MUTATING or self._held:
             return left
