--- a/ospreyline/decide.py
+++ b/ospreyline/decide.py
@@ -36,7 +36,6 @@
 PATIENCE = 0.9  # share of the target latency that a visit of great gain accepts as predicted latency
 IDLE = 0.75  # a report under this tells of idle cores (util) or of nobody waiting (queue)
 FIRST_GUESS = 0.2  # of the shortest target latency: an upstream's latency until it is measured
-SHORT_MEMORY = 10_000.0  # ms for which room that was short counts as short
 UNCROWDED = 3.0  # visits that any upstream may hold at a time, however slow it is
 COPY_AFTER = 2.0  # times the smoothed latency of a path prefix, then a second copy may go
 FURTHER = 2  # further backend fetches of a visit
@@ -415,6 +414,9 @@
         visit.out += 1
         u.out[f] = None
         u.sent_at = now
+        if not visit.lane.late_gain and self._may_cancel and len(visit.fetches) == 1:
+            # a hundredth is left for the way back
+            self._host.wake(visit.target_at - 0.01 * visit.lane.target, partial(self._too_late, visit))
         if self._may_copy and visit.lane.kind is not Kind.MUTATING and visit.out == 1:
             self._host.wake(now + COPY_AFTER * visit.lane.latency, partial(self._copy, visit))
         if visit.held:
@@ -575,6 +577,19 @@
         if u is not None:
             self._send(visit, u, now)
 
+    def _too_late(self, visit: Visit, now: float) -> None:
+        """E4: its answer has no gain any more, but the room that it holds has, where others wait for it."""
+        if visit.done or not visit.out:
+            return
+        waited_for = self._overload(now)
+        for f in visit.fetches:
+            if f.end is None:
+                u = f.upstream
+                waited_for |= len(u.out) > 1 or u.report * exp((u.report_at - now) / FADE) > IDLE
+                u.smooth(now, now - f.sent, f.depth)
+        if waited_for:
+            self._give_up(visit, now)
+
     def _overload(self, now: float) -> bool:
         return self._held > 0 or now - self._short_at < 1_000
 
@@ -582,9 +597,6 @@
         """How long a fetch may take: less than the client waits only where another one could follow."""
         lane = visit.lane
         left = visit.expires - now
-        if not lane.late_gain and now - self._short_at < SHORT_MEMORY and now < visit.target_at:
-            # E4: room is short and a late answer has no gain: the room it holds has
-            left = min(left, 0.99 * (visit.target_at - now))
         last = len(visit.fetches) >= min(FURTHER, self._max_fetches - 1)
         if last or lane.kind is Kind.MUTATING or self._held:
             return left
