--- a/ospreyline/decide.py
+++ b/ospreyline/decide.py
@@ -586,7 +586,7 @@
             if f.end is None:
                 u = f.upstream
                 waited_for |= len(u.out) > 1 or u.report * exp((u.report_at - now) / FADE) > IDLE
-                u.smooth(now, now - f.sent, f.depth)
+                self._learn(u, f, now, End.TIMED_OUT, now - f.sent, visit.lane)
         if waited_for:
             self._give_up(visit, now)
 
