--- a/ospreyline/decide.py
+++ b/ospreyline/decide.py
@@ -33,7 +33,7 @@
 FORGET = 2_000.0  # ms in which an idle upstream's slowness fades
 FADE_COUNTS = 0.9  # what is left after a second of the counts of visits
 SMOOTH = 0.1  # weight of a new sample in smoothed figures
-PATIENCE = 0.9  # share of the target latency that a visit of great gain accepts as predicted latency
+PATIENCE = 1.0  # share of the target latency that a visit of great value accepts as predicted latency
 IDLE = 0.75  # a report under this tells of idle cores (util) or of nobody waiting (queue)
 FIRST_GUESS = 0.2  # of the shortest target latency: an upstream's latency until it is measured
 UNCROWDED = 3.0  # visits that any upstream may hold at a time, however slow it is
@@ -210,6 +210,9 @@
         self._by_gain = sorted(self._lanes, key=lambda lane: -lane.gain)
         self._zone = terms.zone
         self._zones = terms.zones
+        # balancers of one zone let visits in at the same moment, in whole ones: the more there are, the
+        # further short of its patience each must stay (E1)
+        self._bold = PATIENCE * (2 + min(1.0, terms.zones / terms.balancers)) / 3
         self._balancers = terms.balancers
         self._max_fetches = terms.max_fetches
         self._may_copy = terms.may_copy
@@ -471,7 +474,7 @@
     def _patience(self, visit: Visit, fee: float) -> float:
         """The predicted latency that a visit accepts: more for more gain, so that low gain yields first."""
         value = max(0.0, visit.lane.value - fee)
-        return PATIENCE * (visit.target_at - visit.came) * value / (value + 1)
+        return self._bold * (visit.target_at - visit.came) * value / (value + 1)
 
     def _lower_of_two(self, level: list[Upstream], visit: Visit, now: float,
                       patience: float) -> Upstream | None:
