Only a marked repeat with less time counts as a later try

Fetches failed only where nothing else of ours was out, and second ones almost always: not the upstream, but our own time-out.

--- a/ospreyline/decide.py
+++ b/ospreyline/decide.py
@@ -165,14 +165,16 @@
     __slots__ = ("_balancer", "came", "done", "expires", "fetches", "held", "lane", "out", "tag",
                  "target_at")
 
-    def __init__(self, balancer: Balancer, tag: int, lane: Lane, now: float, ttl: float, key: int) -> None:
+    def __init__(self, balancer: Balancer, tag: int, lane: Lane, now: float, ttl: float,
+                 repeat: bool) -> None:
         self._balancer = balancer
         self.tag = tag
         self.lane = lane
         self.came = now
         self.expires = now + ttl
-        # a try that is given less time than others is a later one: its target latency began before
-        elapsed = max(0.0, lane.time_out - ttl) if ttl < 0.98 * lane.usual_ttl else 0.0
+        # a marked repeat that is given less time than others is a later try: its target latency began before.
+        # Guards: less time alone says nothing, some clients just have less patience
+        elapsed = max(0.0, lane.time_out - ttl) if repeat and ttl < 0.98 * lane.usual_ttl else 0.0
         self.target_at = now + min(ttl, lane.target - elapsed)
         self.fetches: list[Fetch] = []
         self.out = 0
@@ -310,7 +312,7 @@
         """A visit has come; it is sent, held or answered before this returns."""
         lane = self._lanes[prefix]
         lane.usual_ttl = max(lane.usual_ttl, ttl)
-        visit = Visit(self, tag, lane, now, ttl, key)
+        visit = Visit(self, tag, lane, now, ttl, repeat)
         self._taken += 1
         lane.arrived += 1
         if not self._place(visit, now):
