--- a/ospreyline/decide.py
+++ b/ospreyline/decide.py
@@ -21,7 +21,6 @@
 
 FACTOR = 1.4  # overprovisioning factor of a level's health
 FAILURE_RUN = 5  # failures in a row that mark an upstream failing
-PREFIX_RUN = 3  # the same for one path prefix, at an upstream that serves others
 HOLD_DOWN = 10_000.0  # ms an upstream stays failing before its one trial
 LATENCY_MARK = 4.0  # smoothed latency over its lowest of the last minute
 LOWEST_SPAN = 30_000.0  # the lowest is kept for this span and the one before
@@ -37,7 +36,6 @@
 PATIENCE = 1.0  # share of the target latency that a visit of great value accepts as predicted latency
 IDLE = 0.75  # a report under this tells of idle cores (util) or of nobody waiting (queue)
 FIRST_GUESS = 0.2  # of the shortest target latency: an upstream's latency until it is measured
-MOST = 0.67  # of the upstreams; while more of them fail a path prefix, none is passed over for it
 UNCROWDED = 3.0  # visits that any upstream may hold at a time, however slow it is
 COPY_AFTER = 2.0  # times the smoothed latency of a path prefix, then a second copy may go
 FURTHER = 2  # further backend fetches of a visit
@@ -49,11 +47,10 @@
 class Lane:
     """A path prefix: its terms, what has been learnt of it, and its visits that wait for room."""
 
-    __slots__ = ("arrived", "failed", "gain", "held", "in_time", "index", "kind", "late_gain", "latency",
-                 "scope", "target", "time_out", "usual_ttl", "value", "window")
+    __slots__ = ("arrived", "gain", "held", "in_time", "kind", "late_gain", "latency", "scope", "target",
+                 "time_out", "usual_ttl", "value", "window")
 
-    def __init__(self, index: int, terms: PathPrefix) -> None:
-        self.index = index
+    def __init__(self, terms: PathPrefix) -> None:
         self.kind = terms.kind
         self.scope = terms.scope
         self.window = terms.window
@@ -66,7 +63,6 @@
         self.in_time = 0.0  # of those, delivered within the target latency
         self.latency = 0.2 * terms.target_latency  # smoothed, of delivered visits
         self.usual_ttl = 0.0  # the longest a client has given a try: a first try's
-        self.failed = False  # some, but not most upstreams fail it
         self.held: deque[Visit] = deque()
 
 
@@ -75,10 +71,10 @@
 
     __slots__ = ("cell", "cold_sends", "depth", "failing", "full_at", "id", "latency", "lowest",
                  "lowest_before", "lowest_since", "measured_at", "out", "probed_at", "rate", "ready",
-                 "report", "report_at", "run", "runs", "samples", "sent_at", "served", "shut", "since",
+                 "report", "report_at", "run", "samples", "sent_at", "served", "since",
                  "start", "trial_at", "trial_out", "zone")
 
-    def __init__(self, line: Listed, lanes: int) -> None:
+    def __init__(self, line: Listed) -> None:
         self.id = line.upstream
         self.zone = line.zone
         self.cell = line.cell
@@ -87,8 +83,6 @@
         self.since = -inf  # it is new, or has returned, since then
         self.out: dict[Fetch, None] = {}  # oldest first
         self.run = 0
-        self.runs = [0] * lanes  # failures in a row, by path prefix
-        self.shut = [-inf] * lanes  # no visits of a path prefix until then
         self.failing = False
         self.trial_at = 0.0
         self.trial_out = False
@@ -214,7 +208,7 @@
         self._host = host
         chance = Random(seed)
         self._random = chance.random
-        self._lanes = [Lane(i, p) for i, p in enumerate(terms.prefixes)]
+        self._lanes = [Lane(p) for p in terms.prefixes]
         self._by_gain = sorted(self._lanes, key=lambda lane: -lane.gain)
         self._zone = terms.zone
         self._zones = terms.zones
@@ -282,7 +276,7 @@
             u = self._upstreams.get(line.upstream)
             new = u is None
             if u is None:
-                u = self._upstreams[line.upstream] = Upstream(line, len(self._lanes))
+                u = self._upstreams[line.upstream] = Upstream(line)
             u.zone, u.cell = line.zone, line.cell
             was, u.ready = u.ready, line.readiness is Readiness.READY
             if not u.ready:
@@ -346,8 +340,6 @@
         if end is End.DELIVERED:
             u.served += 1
             u.run = 0
-            u.runs[lane.index] = 0
-            u.shut[lane.index] = -inf
             if u.failing:
                 u.failing = False
                 u.since = now
@@ -361,9 +353,6 @@
             if end is not End.UNREACHED:
                 # guards: one that errors fast looks idle; each error is as bad as a late answer
                 u.smooth(now, max(spent, lane.target), f.depth)
-                u.runs[lane.index] += 1
-                if u.runs[lane.index] >= PREFIX_RUN:
-                    u.shut[lane.index] = now + HOLD_DOWN * (u.runs[lane.index] - PREFIX_RUN + 1)
             if u.failing or u.run >= FAILURE_RUN:
                 u.failing = True
                 u.trial_at = now + HOLD_DOWN
@@ -430,8 +419,6 @@
         visit.out += 1
         u.out[f] = None
         u.sent_at = now
-        if u.runs[visit.lane.index] >= PREFIX_RUN:
-            u.shut[visit.lane.index] = max(u.shut[visit.lane.index], now + HOLD_DOWN)  # this one is the trial
         if self._may_copy and visit.lane.kind is not Kind.MUTATING and visit.out == 1:
             self._host.wake(now + COPY_AFTER * visit.lane.latency, partial(self._copy, visit))
         if visit.held:
@@ -500,11 +487,6 @@
             if self._has_room(u, now, patience) and u not in tried and self._may_go(visit, u, now)
             and (now - u.start >= self._warm_within or self._random() < self._warmth(u, now))
         ]
-        if visit.lane.failed:
-            # E5: guards: one path prefix may fail at an upstream that serves the others well
-            open_to = [u for u in fit if now >= u.shut[visit.lane.index]]
-            if open_to or level is not self._ready:
-                fit = open_to
         if not fit:
             return None
         n = len(fit)
@@ -709,9 +691,6 @@
             if high or now - u.full_at < FULL_MEMORY:
                 count /= 2
             counts[u.zone] += count
-        for lane in self._lanes:
-            shut = sum(now < u.shut[lane.index] for u in ready)
-            lane.failed = 0 < shut <= MOST * len(ready)  # where most do, it is load or the visits' own fault
         self._levels = levels
         healths = [min(100.0, FACTOR * 100 * counts[z] / max(1, totals[z])) for z in self._order]
         self._shares = shares(self._order, healths)
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -148,3 +148,12 @@
     host = FakeHost([listed(0)], prefixes=(prefix(Kind.MUTATING),))
     visit = host.take()
     assert host.sends[0][2] <= visit.lane.target < visit.expires - host.now
+
+
+def test_a_client_with_little_patience_is_not_taken_for_a_repeat():
+    # met on an incident: its fetches were cut off after some milliseconds
+    host = FakeHost([listed(0), listed(1)])
+    host.serve(20)
+    visit = host.take(ttl=1_600.0)
+    assert visit.target_at - host.now == visit.lane.target
+    assert host.sends[-1][2] > 0.5 * visit.lane.target
