--- a/ospreyline/decide.py
+++ b/ospreyline/decide.py
@@ -36,6 +36,7 @@
 PATIENCE = 0.9  # share of the target latency that a visit of great value accepts as predicted latency
 IDLE = 0.75  # a report under this tells of idle cores (util) or of nobody waiting (queue)
 FIRST_GUESS = 0.2  # of the shortest target latency: an upstream's latency until it is measured
+REST = 4_000.0  # ms a marked upstream is left alone
 UNCROWDED = 3.0  # visits that any upstream may hold at a time, however slow it is
 COPY_AFTER = 2.0  # times the smoothed latency of a path prefix, then a second copy may go
 FURTHER = 2  # further backend fetches of a visit
@@ -71,7 +72,7 @@
 
     __slots__ = ("cell", "cold_sends", "depth", "failing", "full_at", "id", "latency", "lowest",
                  "lowest_before", "lowest_since", "measured_at", "out", "probed_at", "rate", "ready",
-                 "report", "report_at", "run", "samples", "sent_at", "served", "since",
+                 "report", "report_at", "rest_until", "run", "samples", "sent_at", "served", "since",
                  "start", "trial_at", "trial_out", "zone")
 
     def __init__(self, line: Listed) -> None:
@@ -87,6 +88,7 @@
         self.trial_at = 0.0
         self.trial_out = False
         self.full_at = -inf
+        self.rest_until = -inf
         self.latency = 0.0
         self.lowest = self.lowest_before = inf
         self.lowest_since = 0.0
@@ -684,6 +686,8 @@
                     self._due.append(u)
                 continue
             if u.marked(self._mean_latency):
+                u.rest_until = now + REST
+            if now < u.rest_until:
                 continue
             levels[u.zone].append(u)
             count = min(1.0, (now - u.since) / RAMP)
