--- a/ospreyline/decide.py
+++ b/ospreyline/decide.py
@@ -36,7 +36,6 @@
 PATIENCE = 0.9  # share of the target latency that a visit of great value accepts as predicted latency
 IDLE = 0.75  # a report under this tells of idle cores (util) or of nobody waiting (queue)
 FIRST_GUESS = 0.2  # of the shortest target latency: an upstream's latency until it is measured
-REST = 4_000.0  # ms a marked upstream is left alone
 UNCROWDED = 3.0  # visits that any upstream may hold at a time, however slow it is
 COPY_AFTER = 2.0  # times the smoothed latency of a path prefix, then a second copy may go
 FURTHER = 2  # further backend fetches of a visit
@@ -72,7 +71,7 @@
 
     __slots__ = ("cell", "cold_sends", "depth", "failing", "full_at", "id", "latency", "lowest",
                  "lowest_before", "lowest_since", "measured_at", "out", "probed_at", "rate", "ready",
-                 "report", "report_at", "rest_until", "run", "samples", "sent_at", "served", "since",
+                 "report", "report_at", "run", "samples", "sent_at", "served", "since",
                  "start", "trial_at", "trial_out", "zone")
 
     def __init__(self, line: Listed) -> None:
@@ -88,7 +87,6 @@
         self.trial_at = 0.0
         self.trial_out = False
         self.full_at = -inf
-        self.rest_until = -inf
         self.latency = 0.0
         self.lowest = self.lowest_before = inf
         self.lowest_since = 0.0
@@ -135,11 +133,11 @@
         """The latency of one more: the measured one, scaled by what we have out; others do as we do."""
         return self.latency * (len(self.out) + 1) / self.depth
 
-    def marked(self, mean_latency: float) -> bool:
+    def marked(self, mean_latency: float, harmless: float) -> bool:
         """Whether the latency mark holds: a slow upstream takes no part in its level's health."""
         # E3: where all are as slow, it is load and no fault of one; marking them would swing the shares
         return (self.latency > LATENCY_MARK * min(self.lowest, self.lowest_before)
-                and self.latency > 2 * mean_latency)
+                and self.latency > max(harmless, 2 * mean_latency))
 
 
 class Fetch:
@@ -245,6 +243,7 @@
         self._order = [(terms.zone + i) % terms.zones for i in range(terms.zones)]  # own first
         self._mean_report = 0.0
         self._mean_latency = 0.0
+        self._harmless = 0.5 * min((lane.target for lane in self._lanes), default=0.0)
         # guards: the first answers are the short ones; until more are in, nothing is thought to be fast, the
         # less the more balancers of this zone start at the same moment
         self._first_guess = FIRST_GUESS * min((lane.target for lane in self._lanes), default=0.0)
@@ -685,9 +684,7 @@
                 if now >= u.trial_at:
                     self._due.append(u)
                 continue
-            if u.marked(self._mean_latency):
-                u.rest_until = now + REST
-            if now < u.rest_until:
+            if u.marked(self._mean_latency, self._harmless):
                 continue
             levels[u.zone].append(u)
             count = min(1.0, (now - u.since) / RAMP)
