--- a/ospreyline/decide.py
+++ b/ospreyline/decide.py
@@ -303,7 +303,7 @@
 
     # -- visits -------------------------------------------------------------------------------------------
 
-    def take(self, now: float, tag: int, prefix: int, ttl: float, key: int, repeat: bool) -> Visit:
+    def take(self, now: float, tag: int, prefix: int, ttl: float, repeat: bool) -> Visit:
         """A visit has come; it is sent, held or answered before this returns."""
         lane = self._lanes[prefix]
         lane.usual_ttl = max(lane.usual_ttl, ttl)
--- a/ospreyline/drill/facts.py
+++ b/ospreyline/drill/facts.py
@@ -50,13 +50,8 @@
     via: str = "silent"
 
 
-class _Domain(_Wire):
-    warm_keys: bool = False
-
-
 class _Invariants(_Wire):
     cold_from: float = 0.1
-    drain_grace_us: float = 1e6
     must_ask_in_us: float = 1e7
     overload_factor: float = 2.0
     tip_after_us: float = 2e6
@@ -70,7 +65,6 @@
     dcs: list[str] = []
     discovery: str = "push"
     caps: _Caps = msgspec.field(default_factory=_Caps)
-    domain: _Domain = msgspec.field(default_factory=_Domain)
     fees: _Fees = msgspec.field(default_factory=_Fees)
     goal: _Goal = msgspec.field(default_factory=_Goal)
     feedback: _Feedback = msgspec.field(default_factory=_Feedback)
@@ -120,7 +114,6 @@
         max_retry_after=caps.max_retry_after_us / 1e3 if caps.retry_after else 0.0,
         ask_for_list=facts.discovery == "ask",
         must_ask_in=rules.must_ask_in_us / 1e3,
-        drain_grace=rules.drain_grace_us / 1e3,
         cold_from=rules.cold_from,
         warm_within=rules.warm_within_us / 1e3,
         overload_factor=rules.overload_factor,
@@ -128,6 +121,5 @@
         cross_fee=facts.fees.cross_zone,
         probe_fee=facts.fees.probe,
         worst_prefix=facts.goal.worst_class / max(1e-9, facts.goal.total()),
-        warm_keys=facts.domain.warm_keys,
         report_fields=tuple(_REPORT_WORDS.get(f, f) for f in facts.feedback.fields),
     )
--- a/ospreyline/host.py
+++ b/ospreyline/host.py
@@ -58,10 +58,8 @@
     """One line of the list of upstreams."""
 
     upstream: int
-    mark: int  # the same number at every balancer, for hashing only
     zone: int
     cell: int
-    kind: int
     readiness: Readiness
     came_up: float  # start of the process on our clock, 0 for long ago
 
@@ -94,7 +92,6 @@
     max_retry_after: float = 0.0  # 0: clients are given no advice
     ask_for_list: bool = True  # the list comes only when asked for
     must_ask_in: float = 10_000.0
-    drain_grace: float = 1_000.0
     cold_from: float = 0.1
     warm_within: float = 30_000.0
     overload_factor: float = 2.0
@@ -102,7 +99,6 @@
     cross_fee: float = 0.0  # share of the mean gain, for each backend fetch to another zone
     probe_fee: float = 0.0
     worst_prefix: float = 0.0  # weight of the worst-served path prefix in the goal
-    warm_keys: bool = False
     report_fields: tuple[str, ...] = field(default=())  # in-flight, queue, util, latency, rate, errors
 
 
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -137,7 +137,7 @@
 def test_the_same_events_lead_to_the_same_sends():
     runs = []
     for _ in range(2):
-        host = FakeHost([listed(i, zone=i % 3) for i in range(9)], warm_keys=True)
+        host = FakeHost([listed(i, zone=i % 3) for i in range(9)])
         host.serve(200, lambda u: End.RESET if u == 3 else End.DELIVERED)
         runs.append(host.sends)
     assert runs[0] == runs[1]
