--- a/ospreyline/decide.py
+++ b/ospreyline/decide.py
@@ -13,7 +13,6 @@
 from __future__ import annotations
 
 from collections import deque
-from functools import partial
 from math import exp, inf
 from random import Random
 
@@ -37,7 +36,6 @@
 IDLE = 0.75  # a report under this tells of idle cores (util) or of nobody waiting (queue)
 FIRST_GUESS = 0.2  # of the shortest target latency: an upstream's latency until it is measured
 UNCROWDED = 3.0  # visits that any upstream may hold at a time, however slow it is
-COPY_AFTER = 2.0  # times the smoothed latency of a path prefix, then a second copy may go
 FURTHER = 2  # further backend fetches of a visit
 COLD_SHARE = 0.7  # of the cold budget that is used: the capacity is a guess
 PROBE_SPEND = 0.002  # of the gain, the most that probes may cost
@@ -47,7 +45,7 @@
 class Lane:
     """A path prefix: its terms, what has been learnt of it, and its visits that wait for room."""
 
-    __slots__ = ("arrived", "gain", "held", "in_time", "kind", "late_gain", "latency", "scope", "target",
+    __slots__ = ("arrived", "gain", "held", "in_time", "kind", "late_gain", "scope", "target",
                  "time_out", "usual_ttl", "value", "window")
 
     def __init__(self, terms: PathPrefix) -> None:
@@ -61,7 +59,6 @@
         self.late_gain = terms.late_gain
         self.arrived = 0.0  # of late, fading
         self.in_time = 0.0  # of those, delivered within the target latency
-        self.latency = 0.2 * terms.target_latency  # smoothed, of delivered visits
         self.usual_ttl = 0.0  # the longest a client has given a try: a first try's
         self.held: deque[Visit] = deque()
 
@@ -326,7 +323,6 @@
                 self._take_report(u, now, report)
         if final and not visit.done:
             if end is End.DELIVERED:
-                visit.lane.latency += 0.05 * (spent - visit.lane.latency)
                 visit.lane.in_time += now <= visit.target_at
                 self._delivered += 1
             self._close(visit, now)
@@ -420,8 +416,6 @@
         visit.out += 1
         u.out[f] = None
         u.sent_at = now
-        if self._may_copy and visit.lane.kind is not Kind.MUTATING and visit.out == 1:
-            self._host.wake(now + COPY_AFTER * visit.lane.latency, partial(self._copy, visit))
         if visit.held:
             visit.held = False
             self._held -= 1
@@ -572,33 +566,16 @@
                 return
         self._give_up(visit, now)
 
-    def _copy(self, visit: Visit, now: float) -> None:
-        """A fetch takes long: where a second copy may be out, it goes to an upstream with room, at home."""
-        if visit.done or visit.out != 1 or self._overload(now) or now >= visit.target_at:
-            return
-        u = self._lower_of_two(self._levels[self._zone], visit, now, 0.5 * (visit.target_at - now))
-        if u is not None:
-            self._send(visit, u, now)
-
     def _overload(self, now: float) -> bool:
         return self._held > 0 or now - self._short_at < 1_000
 
     def _time_out(self, visit: Visit, now: float) -> float:
-        """How long a fetch may take: less than the client waits only where another one could follow."""
+        """How long a fetch may take."""
         lane = visit.lane
-        left = visit.expires - now
-        if not lane.late_gain and now < visit.target_at:
-            # E4: a late answer has no gain, but the room that it holds has; a hundredth is for the way back
-            left = min(left, visit.target_at - now - 0.01 * lane.target)
-        last = len(visit.fetches) >= min(FURTHER, self._max_fetches - 1)
-        if last or lane.kind is Kind.MUTATING or self._held:
-            return left
-        spare = visit.target_at - now - 2 * lane.latency
-        if spare < max(0.5 * lane.target, 4 * lane.latency):
-            return left
-        if lane.kind is Kind.TAGGED and spare >= lane.window:
-            return left
-        return min(left, spare)
+        if lane.late_gain or now >= visit.target_at:
+            return visit.expires - now
+        # E4: a late answer has no gain, but the room that it holds has; a hundredth is for the way back
+        return min(visit.expires, visit.target_at - 0.01 * lane.target) - now
 
     def _take_report(self, u: Upstream, now: float, report: tuple[float, ...]) -> None:
         if 0 <= self._load_field < len(report):
