--- a/ospreyline/decide.py
+++ b/ospreyline/decide.py
@@ -117,9 +117,7 @@
         # the longer the last sample is past, the more the new one says
         weight = max(SMOOTH, 1 / (self.samples + 3), 1 - exp((self.measured_at - now) / FORGET))
         self.measured_at = now
-        # guards: one heavy visit says little of the upstream
-        self.latency += weight * (min(latency, max(3 * self.latency, 1.0) if self.samples > 3 else latency)
-                                  - self.latency)
+        self.latency += weight * (latency - self.latency)
         self.depth += weight * (depth - self.depth)
         if now - self.lowest_since > LOWEST_SPAN:
             self.lowest_since, self.lowest_before, self.lowest = now, self.lowest, inf
@@ -592,7 +590,7 @@
             if u.out:
                 # guards: a stuck upstream answers nothing that could be measured; its oldest fetch tells
                 late = now - next(iter(u.out)).sent
-                if late > 2 * u.latency:
+                if late > LATENCY_MARK * u.latency:
                     u.latency += SMOOTH * (late - u.latency)
             elif self._base < u.latency:
                 # guards: one passed over for being slow is never measured again, so that fades
