--- a/ospreyline/decide.py
+++ b/ospreyline/decide.py
@@ -36,6 +36,7 @@
 IDLE = 0.75  # a report under this tells of idle cores (util) or of nobody waiting (queue)
 FIRST_GUESS = 0.2  # of the shortest target latency: an upstream's latency until it is measured
 UNCROWDED = 3.0  # visits that any upstream may hold at a time, however slow it is
+MIX, MASK = 0xD6E8FEB86659FD93, (1 << 64) - 1  # to hash a key with an upstream's mark
 FURTHER = 2  # further backend fetches of a visit
 COLD_SHARE = 0.7  # of the cold budget that is used: the capacity is a guess
 PROBE_SPEND = 0.002  # of the gain, the most that probes may cost
@@ -67,12 +68,13 @@
     """All that is known of one upstream."""
 
     __slots__ = ("cell", "cold_sends", "depth", "failing", "full_at", "id", "latency", "lowest",
-                 "lowest_before", "lowest_since", "measured_at", "out", "probed_at", "rate", "ready",
+                 "lowest_before", "lowest_since", "mark", "measured_at", "out", "probed_at", "rate", "ready",
                  "report", "report_at", "run", "samples", "sent_at", "served", "since",
                  "start", "trial_at", "trial_out", "zone")
 
     def __init__(self, line: Listed) -> None:
         self.id = line.upstream
+        self.mark = line.mark
         self.zone = line.zone
         self.cell = line.cell
         self.ready = False
@@ -151,14 +153,15 @@
 class Visit:
     """The handle of a visit that was taken."""
 
-    __slots__ = ("_balancer", "came", "done", "expires", "fetches", "held", "lane", "out", "tag",
+    __slots__ = ("_balancer", "came", "done", "expires", "fetches", "held", "key", "lane", "out", "tag",
                  "target_at")
 
     def __init__(self, balancer: Balancer, tag: int, lane: Lane, now: float, ttl: float,
-                 repeat: bool) -> None:
+                 key: int, repeat: bool) -> None:
         self._balancer = balancer
         self.tag = tag
         self.lane = lane
+        self.key = key
         self.came = now
         self.expires = now + ttl
         # a marked repeat that is given less time than others is a later try: its target latency began before.
@@ -221,6 +224,7 @@
         self._cold_from = terms.cold_from
         self._warm_within = terms.warm_within
         self._tip_after = terms.tip_after
+        self._warm_keys = terms.warm_keys
         # sends a window at whole capacity of one a second: our part of what all balancers may send
         self._cold_budget = COLD_SHARE * terms.overload_factor * terms.tip_after / 1e3 / terms.balancers
         self._capacity = 0.0  # visits a second that a warm upstream is seen to carry for us
@@ -298,11 +302,12 @@
 
     # -- visits -------------------------------------------------------------------------------------------
 
-    def take(self, now: float, tag: int, prefix: int, ttl: float, repeat: bool) -> Visit:
+    def take(self, now: float, tag: int, prefix: int, ttl: float, key: int,
+             repeat: bool) -> Visit:
         """A visit has come; it is sent, held or answered before this returns."""
         lane = self._lanes[prefix]
         lane.usual_ttl = max(lane.usual_ttl, ttl)
-        visit = Visit(self, tag, lane, now, ttl, repeat)
+        visit = Visit(self, tag, lane, now, ttl, key if self._warm_keys else 0, repeat)
         self._taken += 1
         lane.arrived += 1
         if not self._place(visit, now):
@@ -488,6 +493,9 @@
         i = int(self._random() * n)
         j = int(self._random() * (n - 1))
         a, b = fit[i], fit[j if j < i else j + 1]
+        if visit.key:
+            # E5: where upstreams remember keys, one of the two is the key's own, the same for all its visits
+            a = max(fit, key=lambda u: ((visit.key ^ u.mark) * MIX & MASK) * MIX & MASK)
         x, y = self._score(a, now), self._score(b, now)
         if x == y:
             return a if self._random() < 0.5 else b
--- a/ospreyline/drill/facts.py
+++ b/ospreyline/drill/facts.py
@@ -45,6 +45,10 @@
         return self.whole + self.worst_class + self.worst_tenant + self.worst_window
 
 
+class _Domain(_Wire):
+    warm_keys: bool = False
+
+
 class _Feedback(_Wire):
     fields: list[str] = []
     via: str = "silent"
@@ -65,6 +69,7 @@
     dcs: list[str] = []
     discovery: str = "push"
     caps: _Caps = msgspec.field(default_factory=_Caps)
+    domain: _Domain = msgspec.field(default_factory=_Domain)
     fees: _Fees = msgspec.field(default_factory=_Fees)
     goal: _Goal = msgspec.field(default_factory=_Goal)
     feedback: _Feedback = msgspec.field(default_factory=_Feedback)
@@ -121,5 +126,6 @@
         cross_fee=facts.fees.cross_zone,
         probe_fee=facts.fees.probe,
         worst_prefix=facts.goal.worst_class / max(1e-9, facts.goal.total()),
+        warm_keys=facts.domain.warm_keys,
         report_fields=tuple(_REPORT_WORDS.get(f, f) for f in facts.feedback.fields),
     )
--- a/ospreyline/host.py
+++ b/ospreyline/host.py
@@ -58,6 +58,7 @@
     """One line of the list of upstreams."""
 
     upstream: int
+    mark: int  # the same number at every balancer, for hashing only
     zone: int
     cell: int
     readiness: Readiness
@@ -99,6 +100,7 @@
     cross_fee: float = 0.0  # share of the mean gain, for each backend fetch to another zone
     probe_fee: float = 0.0
     worst_prefix: float = 0.0  # weight of the worst-served path prefix in the goal
+    warm_keys: bool = False  # upstreams do less work for a key that they met lately
     report_fields: tuple[str, ...] = field(default=())  # in-flight, queue, util, latency, rate, errors
 
 
--- a/tests/fake_host.py
+++ b/tests/fake_host.py
@@ -18,7 +18,7 @@
 
 def listed(upstream: int, zone: int = 0, cell: int = 0, came_up: float = 0.0,
            readiness: Readiness = Readiness.READY) -> Listed:
-    return Listed(upstream, zone, cell, readiness, came_up)
+    return Listed(upstream, upstream * 7919 + 13, zone, cell, readiness, came_up)
 
 
 class FakeHost:
@@ -72,9 +72,9 @@
             due[1](self.now)
         self.now = until
 
-    def take(self, lane: int = 0, ttl: float = 2_500.0) -> Visit:
+    def take(self, lane: int = 0, ttl: float = 2_500.0, key: int = 0) -> Visit:
         self.tags += 1
-        return self.balancer.take(self.now, self.tags, lane, ttl, False)
+        return self.balancer.take(self.now, self.tags, lane, ttl, key, False)
 
     def end(self, visit: Visit, end: End, spent: float = 50.0) -> None:
         """The latest fetch of the visit ends like this, after so long."""
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -157,3 +157,13 @@
     visit = host.take(ttl=1_600.0)
     assert visit.target_at - host.now == visit.lane.target
     assert host.sends[-1][2] > 0.5 * visit.lane.target
+
+
+def test_visits_of_a_key_meet_its_own_upstream_more_often():
+    host = FakeHost([listed(i) for i in range(8)], warm_keys=True)
+    seen = Counter()
+    for _ in range(80):
+        visit = host.take(key=4711)
+        seen[visit.fetches[0].upstream.id] += 1
+        host.end(visit, End.DELIVERED)
+    assert seen.most_common(1)[0][1] > 25 and len(seen) > 2
