--- a/ospreyline/decide.py
+++ b/ospreyline/decide.py
@@ -38,7 +38,6 @@
 UNCROWDED = 3.0  # visits that any upstream may hold at a time, however slow it is
 MIX, MASK = 0xD6E8FEB86659FD93, (1 << 64) - 1  # to hash a key with an upstream's mark
 FURTHER = 2  # further backend fetches of a visit
-COLD_SHARE = 0.7  # of the cold budget that is used: the capacity is a guess
 PROBE_SPEND = 0.002  # of the gain, the most that probes may cost
 PROBE_EVERY = 1_000.0  # ms between probes of an upstream, at most
 
@@ -226,7 +225,7 @@
         self._tip_after = terms.tip_after
         self._warm_keys = terms.warm_keys
         # sends a window at whole capacity of one a second: our part of what all balancers may send
-        self._cold_budget = COLD_SHARE * terms.overload_factor * terms.tip_after / 1e3 / terms.balancers
+        self._cold_budget = terms.overload_factor * terms.tip_after / 1e3 / terms.balancers
         self._capacity = 0.0  # visits a second that a warm upstream is seen to carry for us
         fields = terms.report_fields
         self._load_field = next((fields.index(f) for f in ("in-flight", "queue", "util") if f in fields), -1)
