Latency pooled over a zone, a drawn part of the cold budget, periodic work every 200 ms

Cause: with hundreds of balancers one cold send a window each is more than the rule allows all; a part under one is now kept by chance.

--- a/ospreyline/decide.py
+++ b/ospreyline/decide.py
@@ -28,10 +28,12 @@
 FULL_MEMORY = 1_000.0  # ms an upstream that said it is full counts half
 HIGH_REPORT = 2.0  # a faded report this many times the mean counts half
 
-BEAT = 50.0  # ms between two rounds of periodic work
-FORGET = 2_000.0  # ms in which an idle upstream's slowness fades
+BEAT = 200.0  # ms between two rounds of periodic work
+LOOK = 50.0  # ms between two looks at held visits
+FORGET = 2_000.0  # ms in which what was measured fades; the time between two visits to it, if longer
 FADE_COUNTS = 0.9  # what is left after a second of the counts of visits
 SMOOTH = 0.1  # weight of a new sample in smoothed figures
+REACH = 0.3  # weight of a new sample in the share of a zone's fetches that find a process
 PATIENCE = 0.9  # share of the target latency that a visit of great value accepts as predicted latency
 IDLE = 0.75  # a report under this tells of idle cores (util) or of nobody waiting (queue)
 FIRST_GUESS = 0.2  # of the shortest target latency: an upstream's latency until it is measured
@@ -63,16 +65,52 @@
         self.held: deque[Visit] = deque()
 
 
+class Level:
+    """A zone: its healthy upstreams, and what fetches to it tell of those that are seldom met."""
+
+    __slots__ = ("capacity", "healthy", "latency", "measured_at", "rate", "reach",
+                 "reached_at", "samples")
+
+    def __init__(self, latency: float) -> None:
+        self.healthy: list[Upstream] = []
+        self.latency = latency  # smoothed over all its fetches
+        self.samples = 0
+        self.measured_at = -inf
+        self.reach = 1.0  # share of its fetches that found a process, smoothed
+        self.reached_at = -inf
+        self.rate = 0.0  # visits a second that one of its warm upstreams delivers for us, smoothed
+        self.capacity = 0.0  # the most of that of late
+
+    def smooth(self, now: float, latency: float) -> None:
+        """Take in how long a fetch to the zone took."""
+        self.samples += 1
+        weight = max(SMOOTH, 1 / (self.samples + 3))
+        if self.measured_at > -inf:
+            weight = max(weight, 1 - exp((self.measured_at - now) / FORGET))
+        self.measured_at = now
+        self.latency += weight * (latency - self.latency)
+
+    def reached(self, now: float, did: bool) -> None:
+        """Take in whether a fetch found a process; what is old fades."""
+        self.reach = self.reach_at(now) + REACH * (did - self.reach_at(now))
+        self.reached_at = now
+
+    def reach_at(self, now: float) -> float:
+        """The share of fetches to the zone that may be thought to find a process."""
+        return 1 - (1 - self.reach) * exp((self.reached_at - now) / HOLD_DOWN)
+
+
 class Upstream:
     """All that is known of one upstream."""
 
-    __slots__ = ("cell", "cold_sends", "depth", "failing", "full_at", "id", "latency", "lowest",
-                 "lowest_before", "lowest_since", "mark", "measured_at", "out", "probed_at", "rate", "ready",
+    __slots__ = ("allowed", "cell", "cold_sends", "depth", "drawn_at", "failing", "full_at", "id",
+                 "latency", "level", "lowest", "lowest_before", "lowest_since", "mark", "measured_at", "out", "probed_at", "ready",
                  "report", "report_at", "run", "samples", "sent_at", "served", "since",
                  "start", "trial_at", "trial_out", "zone")
 
-    def __init__(self, line: Listed) -> None:
+    def __init__(self, line: Listed, level: Level) -> None:
         self.id = line.upstream
+        self.level = level
         self.mark = line.mark
         self.zone = line.zone
         self.cell = line.cell
@@ -80,15 +118,15 @@
         self.start = -inf  # of its process
         self.since = -inf  # it is new, or has returned, since then
         self.out: dict[Fetch, None] = {}  # oldest first
-        self.run = 0
+        self.run = 0.0
         self.failing = False
         self.trial_at = 0.0
         self.trial_out = False
         self.full_at = -inf
-        self.latency = 0.0
+        self.latency = 0.0  # as last measured; see expected
         self.lowest = self.lowest_before = inf
         self.lowest_since = 0.0
-        self.samples = 0
+        self.samples = 0.0  # fading
         self.measured_at = -inf
         self.depth = 1.0  # fetches of ours that it held when sent the ones measured, smoothed alike
         self.report = 0.0
@@ -96,44 +134,49 @@
         self.probed_at = -inf
         self.sent_at = -inf
         self.served = 0
-        self.rate = 0.0  # delivered a second, smoothed
         self.cold_sends: deque[float] = deque()
+        self.allowed = 0  # cold sends in a window, drawn for each
+        self.drawn_at = -inf
 
     def reborn(self, now: float, start: float) -> None:
         """A new process: nothing learnt of the old one holds."""
         self.start = start
         self.since = max(start, now - RAMP) if start > -inf else now
         self.failing = self.trial_out = False
-        self.run = 0
-        self.latency = self.report = 0.0
+        self.run = 0.0
+        self.report = 0.0
+        self.measured_at = -inf
         self.depth = 1.0
-        self.samples = 0
+        self.samples = 0.0
         self.lowest = self.lowest_before = inf
         self.report_at = -inf
         self.cold_sends.clear()
 
-    def smooth(self, now: float, latency: float, depth: int) -> None:
+    def smooth(self, now: float, latency: float, depth: int, memory: float) -> None:
         """Take in how long a fetch took that was sent as the depth-th one out."""
-        self.samples += 1
-        # the longer the last sample is past, the more the new one says
-        weight = max(SMOOTH, 1 / (self.samples + 3), 1 - exp((self.measured_at - now) / FORGET))
+        self.latency = self.expected(now, memory)
+        self.samples = self.samples * exp((self.measured_at - now) / memory) + 1
+        weight = max(SMOOTH, 1 / (self.samples + 2))
         self.measured_at = now
         self.latency += weight * (latency - self.latency)
         self.depth += weight * (depth - self.depth)
         if now - self.lowest_since > LOWEST_SPAN:
             self.lowest_since, self.lowest_before, self.lowest = now, self.lowest, inf
-        if self.samples * SMOOTH >= 1:
+        if self.samples * SMOOTH >= 0.5:
             self.lowest = min(self.lowest, self.latency)
 
-    def predicted(self) -> float:
-        """The latency of one more: the measured one, scaled by what we have out; others do as we do."""
-        return self.latency * (len(self.out) + 1) / self.depth
+    def expected(self, now: float, memory: float, cold: float = 1.0) -> float:
+        """Its latency as measured, fading to that of its zone, longer while it is cold."""
+        # guards: among hundreds of balancers each meets an upstream a few times a minute; one old sample
+        # says less than its neighbours since. One passed over for being slow is tried again so, too
+        usual = self.level.latency * cold
+        return usual + (self.latency - usual) * exp((self.measured_at - now) / memory)
 
-    def marked(self, mean_latency: float, harmless: float) -> bool:
+    def marked(self, latency: float, mean_latency: float, harmless: float) -> bool:
         """Whether the latency mark holds: a slow upstream takes no part in its level's health."""
         # E3: where all are as slow, it is load and no fault of one; marking them would swing the shares
-        return (self.latency > LATENCY_MARK * min(self.lowest, self.lowest_before)
-                and self.latency > max(harmless, 2 * mean_latency))
+        return (latency > LATENCY_MARK * min(self.lowest, self.lowest_before)
+                and latency > max(harmless, 2 * mean_latency))
 
 
 class Fetch:
@@ -225,17 +268,18 @@
         self._warm_within = terms.warm_within
         self._tip_after = terms.tip_after
         self._warm_keys = terms.warm_keys
-        # sends a window at whole capacity of one a second: our part of what all balancers may send
-        self._cold_budget = terms.overload_factor * terms.tip_after / 1e3 / terms.balancers
-        self._capacity = 0.0  # visits a second that a warm upstream is seen to carry for us
+        # cold sends a window at a capacity of one a second: a third of the rule's, for machines slower than
+        # their zone's mean, for heavy visits and for chance
+        self._cold_window = terms.overload_factor * terms.tip_after / 3e3
         fields = terms.report_fields
         self._load_field = next((fields.index(f) for f in ("in-flight", "queue", "util") if f in fields), -1)
         self._must_ask_in = terms.must_ask_in if terms.ask_for_list else inf
         self._watching = not terms.ask_for_list
-        self._ask_at = now + self._random() * 500 if terms.ask_for_list else inf
+        # guards: hundreds that start at once ask a list service that serves some calls a second
+        spread = min(0.3 * terms.must_ask_in, 500.0 + 10 * terms.balancers)
+        self._ask_at = now + self._random() * spread if terms.ask_for_list else inf
         self._ask_wait = 500.0
         self._upstreams: dict[int, Upstream] = {}
-        self._levels: list[list[Upstream]] = [[] for _ in range(terms.zones)]  # healthy ones, by zone
         self._ready: list[Upstream] = []
         self._due: list[Upstream] = []  # failing ones whose trial is due
         self._shares: list[tuple[float, int]] = []  # running total of the shares, zone
@@ -245,9 +289,13 @@
         self._harmless = 0.5 * min((lane.target for lane in self._lanes), default=0.0)
         # guards: the first answers are the short ones; until more are in, nothing is thought to be fast, the
         # less the more balancers of this zone start at the same moment
-        self._first_guess = FIRST_GUESS * min((lane.target for lane in self._lanes), default=0.0)
-        self._first_guess *= max(1.0, terms.balancers / terms.zones)
+        guess = FIRST_GUESS * min((lane.target for lane in self._lanes), default=0.0)
+        guess *= min(UNCROWDED, max(1.0, terms.balancers / terms.zones))
+        self._levels = [Level(guess) for _ in range(terms.zones)]
         self._base = inf  # mean of the lowest latencies
+        self._memory = FORGET  # how long what was measured of an upstream holds
+        self._looking = False
+        self._probes_due = 0.0
         self._worst_prefix = terms.worst_prefix
         self._held = 0
         self._flow = 0.0  # visits a second that we see delivered
@@ -256,7 +304,7 @@
         self._asked = 0.0  # visits a second that we are asked
         self._short_at = -inf  # room was last short then
         self._second_at = now
-        host.wake(now + BEAT, self._beat)
+        host.wake(now + BEAT * self._random(), self._beat)
 
     # -- the list of upstreams --------------------------------------------------------------------------
 
@@ -275,8 +323,8 @@
         for line in lines:
             u = self._upstreams.get(line.upstream)
             if u is None:
-                u = self._upstreams[line.upstream] = Upstream(line)
-            u.zone, u.cell = line.zone, line.cell
+                u = self._upstreams[line.upstream] = Upstream(line, self._levels[line.zone])
+            u.zone, u.cell, u.level = line.zone, line.cell, self._levels[line.zone]
             was, u.ready = u.ready, line.readiness is Readiness.READY
             if not u.ready:
                 continue
@@ -335,26 +383,36 @@
     def _learn(self, u: Upstream, f: Fetch, now: float, end: End, spent: float, lane: Lane) -> None:
         if f.trial:
             u.trial_out = False
+        if end is End.CANCELLED or end is End.UNSENT:
+            return
+        lost = end is End.UNREACHED or end is End.RESET
+        u.level.reached(now, not lost)
         if end is End.DELIVERED:
             u.served += 1
-            u.run = 0
+            u.run = 0.0
             if u.failing:
                 u.failing = False
                 u.since = now
-            u.smooth(now, spent, f.depth)
+            self._measure(u, now, spent, f.depth)
         elif end is End.FULL:
             u.full_at = now
             if u.failing:
                 u.trial_at = now + HOLD_DOWN
-        elif end is not End.CANCELLED and end is not End.UNSENT:
-            u.run += 1
+        else:
+            # guards: where a run of failures would take longer than a hold-down to show, a lost connection
+            # counts for as much of it as there are visits too few; a late answer may be but a heavy visit
+            u.run += FAILURE_RUN / min(FAILURE_RUN, max(1.0, HOLD_DOWN / self._memory)) if lost else 1.0
             if end is not End.UNREACHED:
                 # guards: one that errors fast looks idle; each error is as bad as a late answer
-                u.smooth(now, max(spent, lane.target), f.depth)
+                self._measure(u, now, max(spent, lane.target), f.depth)
             if u.failing or u.run >= FAILURE_RUN:
                 u.failing = True
                 u.trial_at = now + HOLD_DOWN
 
+    def _measure(self, u: Upstream, now: float, latency: float, depth: int) -> None:
+        u.smooth(now, latency, depth, self._memory)
+        u.level.smooth(now, latency)
+
     def _close(self, visit: Visit, now: float, keep: Fetch | None = None) -> None:
         """The visit is over: what is still out for it is called off."""
         visit.done = True
@@ -388,12 +446,17 @@
             if lane.scope is Scope.CELL and (u.cell != ran.upstream.cell or u.zone != ran.upstream.zone):
                 return False
         # no cold upstream pushed over: our part of the budget, for any window
-        age = now - u.start
-        if age < self._warm_within:
+        if now - u.start < self._warm_within:
             sends = u.cold_sends
             while sends and sends[0] <= now - self._tip_after:
                 sends.popleft()
-            return len(sends) < max(1.0, self._cold_budget * self._capacity * self._warmth(u, now))
+            if now - u.drawn_at >= self._tip_after:
+                # guards: a part under one send is kept by chance, drawn for each window and never saved up,
+                # or hundreds of balancers would each send the one they have left at the same moment
+                part = self._cold_window * u.level.capacity * self._warmth(u, now)
+                u.allowed = int(part + self._random())
+                u.drawn_at = now
+            return len(sends) < u.allowed
         return True
 
     def _may_bounce(self, visit: Visit) -> bool:
@@ -451,22 +514,23 @@
         drawn = self._random() * self._shares[-1][0]
         zone = next((z for total, z in self._shares if drawn < total), self._zone)
         patience = self._patience(visit, self._cross_fee if zone != self._zone else 0.0)
-        best = self._lower_of_two(self._levels[zone], visit, now, patience)
-        cost = self._cost(visit, best) if best else visit.lane.value
+        best = self._lower_of_two(self._levels[zone].healthy, visit, now, patience)
+        cost = self._cost(visit, best, now) if best else visit.lane.value
         if cost > self._cross_fee:
             # E1: the drawn level has no room, or waiting there costs more than crossing: another level takes
             # the visit if its wait and the fee cost less
             for z in self._order:
                 if z != zone:
                     patience = self._patience(visit, self._cross_fee if z != self._zone else 0.0)
-                    u = self._lower_of_two(self._levels[z], visit, now, patience)
-                    if u and (c := self._cost(visit, u)) < cost:
+                    u = self._lower_of_two(self._levels[z].healthy, visit, now, patience)
+                    if u and (c := self._cost(visit, u, now)) < cost:
                         best, cost = u, c
         return best is not None and self._send(visit, best, now)
 
-    def _cost(self, visit: Visit, u: Upstream) -> float:
+    def _cost(self, visit: Visit, u: Upstream, now: float) -> float:
         """What a visit stands to lose at an upstream, by its wait and the fee, in the unit of its value."""
-        late = exp((visit.came - visit.target_at) / max(1e-3, u.predicted()))  # were waits exponential
+        # were waits exponential
+        late = exp((visit.came - visit.target_at) / max(1e-3, self._predicted(u, now)))
         return visit.lane.value * late + (self._cross_fee if u.zone != self._zone else 0.0)
 
     def _patience(self, visit: Visit, fee: float) -> float:
@@ -478,30 +542,45 @@
                       patience: float) -> Upstream | None:
         """The lower-scored of two random upstreams that have room for the visit and may take it."""
         tried = [f.upstream for f in visit.fetches] if visit.fetches else ()
-        fit = [
-            u for u in level
-            if self._has_room(u, now, patience) and u not in tried and self._may_go(visit, u, now)
-            and (now - u.start >= self._warm_within or self._random() < self._warmth(u, now))
-        ]
-        if not fit:
-            return None
-        n = len(fit)
-        if n == 1:
-            return fit[0]
-        i = int(self._random() * n)
-        j = int(self._random() * (n - 1))
-        a, b = fit[i], fit[j if j < i else j + 1]
-        if visit.key:
+        a = b = None
+        if visit.key and level:
             # E5: where upstreams remember keys, one of the two is the key's own, the same for all its visits
-            a = max(fit, key=lambda u: ((visit.key ^ u.mark) * MIX & MASK) * MIX & MASK)
+            own = max(level, key=lambda u: ((visit.key ^ u.mark) * MIX & MASK) * MIX & MASK)
+            if own not in tried and self._fit(own, visit, now, patience):
+                a = own
+        n = len(level)
+        for i in range(n):  # drawn without putting back until two are found
+            j = i + int(self._random() * (n - i))
+            u = level[j]
+            level[i], level[j] = u, level[i]
+            if u is a or u in tried or not self._fit(u, visit, now, patience):
+                continue
+            if a is not None:
+                b = u
+                break
+            a = u
+        if a is None or b is None:
+            return a
         x, y = self._score(a, now), self._score(b, now)
         if x == y:
             return a if self._random() < 0.5 else b
         return a if x < y else b
 
+    def _fit(self, u: Upstream, visit: Visit, now: float, patience: float) -> bool:
+        """Whether it has room for the visit and may take it; a fresh one is passed over by chance."""
+        return (self._has_room(u, now, patience)
+                and (now - u.start >= self._warm_within or self._random() < self._warmth(u, now))
+                and self._may_go(visit, u, now))
+
+    def _predicted(self, u: Upstream, now: float) -> float:
+        """The latency of one more: the expected one, scaled by what we have out; others do as we do."""
+        cold = 1.0 if now - u.start >= self._warm_within else 1 / max(0.25, self._warmth(u, now))
+        return u.expected(now, self._memory, cold) * (len(u.out) + 1) / u.depth
+
     def _has_room(self, u: Upstream, now: float, patience: float) -> bool:
         """Whether an upstream is predicted to answer one more within the patience."""
-        if u.predicted() <= max(patience, 1.5 * u.lowest if u.lowest < inf and not u.out else 0.0):
+        predicted = self._predicted(u, now)
+        if predicted <= max(patience, 1.5 * u.lowest if u.lowest < inf and not u.out else 0.0):
             return True
         if u.out:
             return False
@@ -511,13 +590,12 @@
         # guards: a slow one still gets one now and then, to be measured; all balancers do so at once, so
         # each only as often as leaves the upstream UNCROWDED of them at a time
         crowd = self._balancers / UNCROWDED - 1 if u.zone == self._zone else self._balancers
-        return now - u.sent_at >= crowd * u.latency
+        return now - u.sent_at >= crowd * predicted
 
     def _score(self, u: Upstream, now: float) -> float:
-        """Own fetches out and the reported load, fading; one unheard takes the others' mean."""
-        if u.report_at > -inf:
-            return len(u.out) + u.report * exp((u.report_at - now) / FADE)
-        return len(u.out) + self._mean_report
+        """Own fetches out and the reported load, fading to the others' mean, which one unheard takes."""
+        fresh = exp((u.report_at - now) / FADE)
+        return len(u.out) + u.report * fresh + self._mean_report * (1 - fresh)
 
     # -- waiting, further fetches -------------------------------------------------------------------------
 
@@ -538,11 +616,25 @@
         visit.held = True
         self._held += 1
         lane.held.append(visit)
+        if not self._looking:
+            self._looking = True
+            self._host.wake(now + LOOK, self._look)
+
+    def _look(self, now: float) -> None:
+        """While visits are held, look at them."""
+        for lane in self._lanes:
+            # guards: one behind another that may wait longer must be answered in time, too
+            for visit in [v for v in lane.held if v.held and now > self._hold_until(v)]:
+                self._give_up(visit, now)
+        self._drain(now)
+        self._looking = self._held > 0
+        if self._looking:
+            self._host.wake(now + LOOK, self._look)
 
     def _hold_until(self, visit: Visit) -> float:
         """Until then a visit may wait and still be answered in time."""
         # guards: periodic work looks at held visits, so the last look must fall before the client timeout
-        return min(visit.target_at - self._patience(visit, 0.0), visit.expires - 2 * BEAT)
+        return min(visit.target_at - self._patience(visit, 0.0), visit.expires - 2 * LOOK)
 
     def _drain(self, now: float) -> None:
         """Room may have come: the visits of the highest gain that still can be in time go first."""
@@ -600,18 +692,15 @@
             if u.out:
                 # guards: a stuck upstream answers nothing that could be measured; its oldest fetch tells
                 late = now - next(iter(u.out)).sent
-                if late > LATENCY_MARK * u.latency:
-                    u.latency += SMOOTH * (late - u.latency)
-            elif self._base < u.latency:
-                # guards: one passed over for being slow is never measured again, so that fades
-                u.latency += BEAT / FORGET * (self._base - u.latency)
+                expected = u.expected(now, self._memory)
+                if late > LATENCY_MARK * expected:
+                    u.latency = expected + 2 * SMOOTH * (late - expected)
+                    u.measured_at = now
+        for level in self._levels:
+            if self._base < level.latency and now - level.measured_at > BEAT:
+                # guards: a zone passed over for being slow is never measured again, so that fades
+                level.latency += BEAT / FORGET * (self._base - level.latency)
         self._rank(now)
-        if self._held:
-            for lane in self._lanes:
-                # guards: one behind another that may wait longer must be answered in time, too
-                for visit in [v for v in lane.held if v.held and now > self._hold_until(v)]:
-                    self._give_up(visit, now)
-            self._drain(now)
         self._follow(now)
         if self._may_probe:
             self._probe(now)
@@ -623,15 +712,20 @@
         self._flow += 0.5 * (self._delivered / span - self._flow)
         self._asked += 0.3 * (self._taken / span - self._asked)
         self._delivered = self._taken = 0
-        totals = [[0.0, 0] for _ in range(self._zones)]
+        warm = [[0, 0] for _ in range(self._zones)]
         for u in self._upstreams.values():
-            u.rate += 0.3 * (u.served / span - u.rate)
-            u.served = 0
             if u.ready and not u.failing and now - u.start >= self._warm_within:
-                totals[u.zone][0] += u.rate
-                totals[u.zone][1] += 1
+                warm[u.zone][0] += u.served
+                warm[u.zone][1] += 1
+            u.served = 0
+        for level, (served, count) in zip(self._levels, warm, strict=True):
+            if count:
+                level.rate += SMOOTH * (served / count / span - level.rate)
+            # where nothing is known yet, half of what we are asked would go round evenly
+            guess = 0.5 * self._asked / max(1, len(self._ready))
+            level.capacity = max(0.99 * level.capacity, level.rate, guess)
+        self._memory = max(FORGET, 1e3 * len(self._ready) / max(0.1, self._asked))
         self._weigh()
-        self._capacity = max(0.99 * self._capacity, *(t / n if n else 0.0 for t, n in totals))
 
     def _weigh(self) -> None:
         """What a visit of each path prefix adds to the goal: its gain, and more where it is served worst."""
@@ -651,33 +745,37 @@
     def _rank(self, now: float) -> None:
         """Healths, shares and candidates, from what each record says now."""
         ready = self._ready = [u for u in self._upstreams.values() if u.ready]
-        heard = [u.report * exp((u.report_at - now) / FADE) for u in ready if u.report_at > -inf]
+        heard, lowest, latencies = [], [], []
+        for u in ready:
+            if u.report_at > -inf:
+                heard.append(u.report * exp((u.report_at - now) / FADE))
+            if (low := min(u.lowest, u.lowest_before)) < inf:
+                lowest.append(low)
+            latencies.append(u.expected(now, self._memory))
         self._mean_report = sum(heard) / len(heard) if heard else 0.0
-        lowest = [low for u in ready if (low := min(u.lowest, u.lowest_before)) < inf]
         self._base = sum(lowest) / len(lowest) if lowest else inf
-        latencies = [u.latency for u in ready if u.samples]
         self._mean_latency = sum(latencies) / len(latencies) if latencies else 0.0
         counts = [0.0] * self._zones
         totals = [0] * self._zones
-        levels: list[list[Upstream]] = [[] for _ in range(self._zones)]
+        reach = [level.reach_at(now) for level in self._levels]
+        for level in self._levels:
+            level.healthy = []
         self._due = []
-        for u in ready:
+        for u, latency in zip(ready, latencies, strict=True):
             totals[u.zone] += 1
-            if not u.samples:
-                u.latency = max(self._mean_latency, self._first_guess) / max(0.25, self._warmth(u, now))
             if u.failing:
                 if now >= u.trial_at:
                     self._due.append(u)
                 continue
-            if u.marked(self._mean_latency, self._harmless):
+            if u.marked(latency, self._mean_latency, self._harmless):
                 continue
-            levels[u.zone].append(u)
+            u.level.healthy.append(u)
             count = min(1.0, (now - u.since) / RAMP)
             high = u.report * exp((u.report_at - now) / FADE) > HIGH_REPORT * self._mean_report + 0.5
             if high or now - u.full_at < FULL_MEMORY:
                 count /= 2
-            counts[u.zone] += count
-        self._levels = levels
+            # E6: one that we have not met for long is as likely up as those of its zone that we have met
+            counts[u.zone] += count * (reach[u.zone] if now - u.measured_at > FORGET else 1.0)
         healths = [min(100.0, FACTOR * 100 * counts[z] / max(1, totals[z])) for z in self._order]
         self._shares = shares(self._order, healths)
 
@@ -693,12 +791,16 @@
         ready = self._ready
         if not ready or self._load_field < 0:
             return
-        every = PROBE_EVERY
-        if self._probe_fee and self._asked:
-            every = max(every, 1e3 * len(ready) * self._probe_fee / (PROBE_SPEND * self._asked))
-        for u in ready:
-            if now - u.probed_at >= every:
-                u.probed_at = now - self._random() * BEAT
+        # guards: all balancers that start at once probe at once, unless as rarely as they are asked
+        rate = 1e3 * len(ready) / PROBE_EVERY
+        if self._probe_fee:
+            rate = min(rate, PROBE_SPEND / self._probe_fee * self._asked)
+        self._probes_due += rate * BEAT / 1e3
+        while self._probes_due >= 1:
+            self._probes_due -= 1
+            u = ready[int(self._random() * len(ready))]
+            if now - u.probed_at >= PROBE_EVERY:
+                u.probed_at = now
                 self._host.probe(u.id)
 
 
