--- a/ospreyline/decide.py
+++ b/ospreyline/decide.py
@@ -42,6 +42,8 @@
 FURTHER = 2  # further backend fetches of a visit
 PROBE_SPEND = 0.002  # of the gain, the most that probes may cost
 PROBE_EVERY = 1_000.0  # ms between probes of an upstream, at most
+ASKS = 2  # times that a visit may have two upstreams asked before it is sent
+WAITED = 0.1  # of the shortest target latency: a probe that took so much longer than others has waited
 
 
 class Lane:
@@ -68,7 +70,7 @@
 class Level:
     """A zone: its healthy upstreams, and what fetches to it tell of those that are seldom met."""
 
-    __slots__ = ("capacity", "healthy", "latency", "measured_at", "rate", "reach",
+    __slots__ = ("capacity", "healthy", "latency", "lowest", "measured_at", "probe", "rate", "reach",
                  "reached_at", "samples")
 
     def __init__(self, latency: float) -> None:
@@ -76,6 +78,8 @@
         self.latency = latency  # smoothed over all its fetches
         self.samples = 0
         self.measured_at = -inf
+        self.lowest = inf
+        self.probe = inf  # the shortest answer to a probe
         self.reach = 1.0  # share of its fetches that found a process, smoothed
         self.reached_at = -inf
         self.rate = 0.0  # visits a second that one of its warm upstreams delivers for us, smoothed
@@ -89,6 +93,8 @@
             weight = max(weight, 1 - exp((self.measured_at - now) / FORGET))
         self.measured_at = now
         self.latency += weight * (latency - self.latency)
+        if self.samples * SMOOTH >= 1:
+            self.lowest = min(self.lowest, self.latency)
 
     def reached(self, now: float, did: bool) -> None:
         """Take in whether a fetch found a process; what is old fades."""
@@ -103,8 +109,9 @@
 class Upstream:
     """All that is known of one upstream."""
 
-    __slots__ = ("allowed", "cell", "cold_sends", "depth", "drawn_at", "failing", "full_at", "id",
-                 "latency", "level", "lowest", "lowest_before", "lowest_since", "mark", "measured_at", "out", "probed_at", "ready",
+    __slots__ = ("allowed", "askers", "cell", "cold_sends", "depth", "drawn_at", "failing", "full_at", "heard_at", "id",
+                 "latency", "level", "lowest", "lowest_before", "lowest_since", "mark", "measured_at", "out",
+                 "probed_at", "ready",
                  "report", "report_at", "run", "samples", "sent_at", "served", "since",
                  "start", "trial_at", "trial_out", "zone")
 
@@ -132,6 +139,8 @@
         self.report = 0.0
         self.report_at = -inf
         self.probed_at = -inf
+        self.heard_at = -inf  # a probe was answered
+        self.askers: list[Visit] = []  # visits that wait for its word
         self.sent_at = -inf
         self.served = 0
         self.cold_sends: deque[float] = deque()
@@ -195,8 +204,8 @@
 class Visit:
     """The handle of a visit that was taken."""
 
-    __slots__ = ("_balancer", "came", "done", "expires", "fetches", "held", "key", "lane", "out", "tag",
-                 "target_at")
+    __slots__ = ("_balancer", "asked", "asked_at", "asks", "came", "done", "expires", "fetches", "held",
+                 "key", "lane", "out", "tag", "target_at")
 
     def __init__(self, balancer: Balancer, tag: int, lane: Lane, now: float, ttl: float,
                  key: int, repeat: bool) -> None:
@@ -214,6 +223,9 @@
         self.out = 0
         self.held = False
         self.done = False
+        self.asks = 0
+        self.asked: list[Upstream] = []  # while it waits for their word
+        self.asked_at = 0.0
 
     @property
     def settled(self) -> bool:
@@ -295,6 +307,7 @@
         self._base = inf  # mean of the lowest latencies
         self._memory = FORGET  # how long what was measured of an upstream holds
         self._looking = False
+        self._waiting = 0.0  # share of probes that waited in a queue
         self._probes_due = 0.0
         self._worst_prefix = terms.worst_prefix
         self._held = 0
@@ -342,8 +355,21 @@
     def probed(self, now: float, upstream: int, end: End, spent: float, report: tuple[float, ...]) -> None:
         """A probe has ended."""
         u = self._upstreams[upstream]
+        askers, u.askers = u.askers, []
         if end is End.DELIVERED:
+            u.heard_at = now
             self._take_report(u, now, report)
+            u.level.probe = min(u.level.probe, spent)
+            wait = spent - u.level.probe
+            waited = wait > WAITED * 2 * self._harmless
+            self._waiting += SMOOTH * (waited - self._waiting)
+            if waited or self._waiting > 0.2:
+                # some probes are served beside the queue; others wait in it, and tell how long it is
+                u.latency, u.measured_at = self._base + wait, now
+                u.level.smooth(now, self._base + wait)
+            for visit in askers:
+                if all(a.heard_at >= visit.asked_at for a in visit.asked):
+                    self._asked_enough(visit, visit.asks, now)
         elif u.failing and end is not End.FULL:
             u.trial_at = now + HOLD_DOWN / 4  # guards: no trial visit is spent on one that no probe reaches
 
@@ -513,6 +539,12 @@
             return u is not None and self._send(visit, u, now)
         drawn = self._random() * self._shares[-1][0]
         zone = next((z for total, z in self._shares if drawn < total), self._zone)
+        if visit.asks:  # nobody there had room
+            zone = min(self._order, key=lambda z: visit.lane.value * exp(
+                (visit.came - visit.target_at) / self._levels[z].latency)
+                + self._cross_fee * (z != self._zone))
+        if self._may_probe and self._ask(visit, zone, now):
+            return True
         patience = self._patience(visit, self._cross_fee if zone != self._zone else 0.0)
         best = self._lower_of_two(self._levels[zone].healthy, visit, now, patience)
         cost = self._cost(visit, best, now) if best else visit.lane.value
@@ -541,8 +573,21 @@
     def _lower_of_two(self, level: list[Upstream], visit: Visit, now: float,
                       patience: float) -> Upstream | None:
         """The lower-scored of two random upstreams that have room for the visit and may take it."""
+        pair = self._two(level, visit, now, patience)
+        if not pair:
+            return None
+        if len(pair) < 2:
+            return pair[0]
+        a, b = pair
+        x, y = self._score(a, now), self._score(b, now)
+        if x == y:
+            return a if self._random() < 0.5 else b
+        return a if x < y else b
+
+    def _two(self, level: list[Upstream], visit: Visit, now: float, patience: float) -> list[Upstream]:
+        """Two random upstreams that have room for the visit and may take it, if there are."""
         tried = [f.upstream for f in visit.fetches] if visit.fetches else ()
-        a = b = None
+        a = None
         if visit.key and level:
             # E5: where upstreams remember keys, one of the two is the key's own, the same for all its visits
             own = max(level, key=lambda u: ((visit.key ^ u.mark) * MIX & MASK) * MIX & MASK)
@@ -556,15 +601,42 @@
             if u is a or u in tried or not self._fit(u, visit, now, patience):
                 continue
             if a is not None:
-                b = u
-                break
+                return [a, u]
             a = u
-        if a is None or b is None:
-            return a
-        x, y = self._score(a, now), self._score(b, now)
-        if x == y:
-            return a if self._random() < 0.5 else b
-        return a if x < y else b
+        return [a] if a else []
+
+    def _ask(self, visit: Visit, zone: int, now: float) -> bool:
+        """Have two of a zone probed before the visit is sent, where that is worth its price."""
+        # E7: with hundreds of balancers nobody has fresh reports; two probes cost less than a late answer
+        lane, level = visit.lane, self._levels[zone]
+        wait = self._patience(visit, 0.0) - self._base
+        if visit.asks >= ASKS or wait < LOOK or now > self._hold_until(visit):
+            return False
+        if lane.value * exp((visit.came - visit.target_at) / level.latency) < 2 * self._probe_fee:
+            return False
+        pair = self._two(level.healthy, visit, now, inf)
+        if len(pair) < 2 or all(now - u.report_at < FADE for u in pair):
+            return False
+        visit.asks += 1
+        visit.asked, visit.asked_at = pair, now
+        for u in pair:
+            if not u.askers:
+                u.probed_at = now
+                self._host.probe(u.id)
+            u.askers.append(visit)
+        asks = visit.asks
+        self._host.wake(now + wait, lambda at: self._asked_enough(visit, asks, at))
+        return True
+
+    def _asked_enough(self, visit: Visit, asks: int, now: float) -> None:
+        """The asked ones have answered, or the time for it is up."""
+        if visit.done or not visit.asked or visit.asks != asks:
+            return
+        heard = [u for u in visit.asked if u.heard_at >= visit.asked_at]
+        visit.asked = []
+        u = self._lower_of_two(heard, visit, now, self._patience(visit, 0.0))
+        if not (u and self._send(visit, u, now)) and not self._place(visit, now):
+            self._hold(visit, now)
 
     def _fit(self, u: Upstream, visit: Visit, now: float, patience: float) -> bool:
         """Whether it has room for the visit and may take it; a fresh one is passed over by chance."""
@@ -753,6 +825,7 @@
                 lowest.append(low)
             latencies.append(u.expected(now, self._memory))
         self._mean_report = sum(heard) / len(heard) if heard else 0.0
+        lowest = lowest or [level.lowest for level in self._levels if level.lowest < inf]
         self._base = sum(lowest) / len(lowest) if lowest else inf
         self._mean_latency = sum(latencies) / len(latencies) if latencies else 0.0
         counts = [0.0] * self._zones
