A zone is predicted as one big upstream by what we have out there; no free first visits

Cause: an upstream never met granted each of hundreds of balancers a first visit, 2000 in the first seconds; and one sample in 15 s says nothing of room. The ratio of fetches out to the zone now scales the zone's latency, as it does for one upstream in the small. Open: unsampled zones look fast, unreached ones too.

--- a/ospreyline/decide.py
+++ b/ospreyline/decide.py
@@ -32,6 +32,7 @@
 LOOK = 50.0  # ms between two looks at held visits
 FORGET = 2_000.0  # ms in which what was measured fades; the time between two visits to it, if longer
 FADE_COUNTS = 0.9  # what is left after a second of the counts of visits
+FEW = 10.0  # visits that tell nothing yet
 SMOOTH = 0.1  # weight of a new sample in smoothed figures
 REACH = 0.3  # weight of a new sample in the share of a zone's fetches that find a process
 PATIENCE = 0.9  # share of the target latency that a visit of great value accepts as predicted latency
@@ -42,7 +43,7 @@
 FURTHER = 2  # further backend fetches of a visit
 PROBE_SPEND = 0.002  # of the gain, the most that probes may cost
 PROBE_EVERY = 1_000.0  # ms between probes of an upstream, at most
-ASKS = 2  # times that a visit may have two upstreams asked before it is sent
+ASKS = 0  # times that a visit may have two upstreams asked before it is sent
 WAITED = 0.1  # of the shortest target latency: a probe that took so much longer than others has waited
 
 
@@ -70,29 +71,32 @@
 class Level:
     """A zone: its healthy upstreams, and what fetches to it tell of those that are seldom met."""
 
-    __slots__ = ("capacity", "healthy", "latency", "lowest", "measured_at", "probe", "rate", "reach",
+    __slots__ = ("capacity", "depth", "healthy", "latency", "lowest", "measured_at", "out", "probe", "rate", "reach",
                  "reached_at", "samples")
 
-    def __init__(self, latency: float) -> None:
+    def __init__(self, latency: float, guess: float) -> None:
         self.healthy: list[Upstream] = []
         self.latency = latency  # smoothed over all its fetches
         self.samples = 0
         self.measured_at = -inf
-        self.lowest = inf
+        self.out = 0  # fetches of ours
+        self.depth = 1.0  # of those when the ones measured were sent, smoothed alike
+        self.lowest = guess
         self.probe = inf  # the shortest answer to a probe
         self.reach = 1.0  # share of its fetches that found a process, smoothed
         self.reached_at = -inf
         self.rate = 0.0  # visits a second that one of its warm upstreams delivers for us, smoothed
         self.capacity = 0.0  # the most of that of late
 
-    def smooth(self, now: float, latency: float) -> None:
-        """Take in how long a fetch to the zone took."""
+    def smooth(self, now: float, latency: float, depth: int) -> None:
+        """Take in how long a fetch to the zone took that was sent as the depth-th one out there."""
         self.samples += 1
         weight = max(SMOOTH, 1 / (self.samples + 3))
         if self.measured_at > -inf:
             weight = max(weight, 1 - exp((self.measured_at - now) / FORGET))
         self.measured_at = now
         self.latency += weight * (latency - self.latency)
+        self.depth += weight * (depth - self.depth)
         if self.samples * SMOOTH >= 1:
             self.lowest = min(self.lowest, self.latency)
 
@@ -174,11 +178,11 @@
         if self.samples * SMOOTH >= 0.5:
             self.lowest = min(self.lowest, self.latency)
 
-    def expected(self, now: float, memory: float, cold: float = 1.0) -> float:
-        """Its latency as measured, fading to that of its zone, longer while it is cold."""
+    def expected(self, now: float, memory: float) -> float:
+        """Its latency as measured, fading to that of its zone."""
         # guards: among hundreds of balancers each meets an upstream a few times a minute; one old sample
         # says less than its neighbours since. One passed over for being slow is tried again so, too
-        usual = self.level.latency * cold
+        usual = self.level.latency
         return usual + (self.latency - usual) * exp((self.measured_at - now) / memory)
 
     def marked(self, latency: float, mean_latency: float, harmless: float) -> bool:
@@ -191,12 +195,13 @@
 class Fetch:
     """One backend fetch of a visit."""
 
-    __slots__ = ("depth", "end", "sent", "trial", "upstream")
+    __slots__ = ("depth", "end", "level_depth", "sent", "trial", "upstream")
 
     def __init__(self, upstream: Upstream, now: float) -> None:
         self.upstream = upstream
         self.sent = now
         self.depth = len(upstream.out) + 1
+        self.level_depth = upstream.level.out + 1
         self.end: End | None = None
         self.trial = False
 
@@ -301,12 +306,14 @@
         self._harmless = 0.5 * min((lane.target for lane in self._lanes), default=0.0)
         # guards: the first answers are the short ones; until more are in, nothing is thought to be fast, the
         # less the more balancers of this zone start at the same moment
-        guess = FIRST_GUESS * min((lane.target for lane in self._lanes), default=0.0)
-        guess *= min(UNCROWDED, max(1.0, terms.balancers / terms.zones))
-        self._levels = [Level(guess) for _ in range(terms.zones)]
-        self._base = inf  # mean of the lowest latencies
+        self._first_guess = FIRST_GUESS * min((lane.target for lane in self._lanes), default=0.0)
+        guess = self._first_guess * min(UNCROWDED, max(1.0, terms.balancers / terms.zones))
+        self._levels = [Level(guess, self._first_guess) for _ in range(terms.zones)]
+        self._base = self._first_guess  # mean of the lowest latencies
         self._memory = FORGET  # how long what was measured of an upstream holds
         self._looking = False
+        self._me_dbg = seed % 40 == 0
+        self._dbgn = [0, 0, 0]
         self._waiting = 0.0  # share of probes that waited in a queue
         self._probes_due = 0.0
         self._worst_prefix = terms.worst_prefix
@@ -337,6 +344,8 @@
             u = self._upstreams.get(line.upstream)
             if u is None:
                 u = self._upstreams[line.upstream] = Upstream(line, self._levels[line.zone])
+                # guards: hundreds of balancers would each grant it a first visit, crowded or not
+                u.sent_at = now - self._random() * self._crowd(u) * u.level.latency
             u.zone, u.cell, u.level = line.zone, line.cell, self._levels[line.zone]
             was, u.ready = u.ready, line.readiness is Readiness.READY
             if not u.ready:
@@ -366,7 +375,7 @@
             if waited or self._waiting > 0.2:
                 # some probes are served beside the queue; others wait in it, and tell how long it is
                 u.latency, u.measured_at = self._base + wait, now
-                u.level.smooth(now, self._base + wait)
+                u.level.smooth(now, self._base + wait, u.level.out + 1)
             for visit in askers:
                 if all(a.heard_at >= visit.asked_at for a in visit.asked):
                     self._asked_enough(visit, visit.asks, now)
@@ -393,6 +402,7 @@
             f.end = end
             visit.out -= 1
             u.out.pop(f, None)
+            u.level.out -= 1
             self._learn(u, f, now, end, spent, visit.lane)
             if report:
                 self._take_report(u, now, report)
@@ -419,7 +429,7 @@
             if u.failing:
                 u.failing = False
                 u.since = now
-            self._measure(u, now, spent, f.depth)
+            self._measure(u, now, spent, f)
         elif end is End.FULL:
             u.full_at = now
             if u.failing:
@@ -430,14 +440,14 @@
             u.run += FAILURE_RUN / min(FAILURE_RUN, max(1.0, HOLD_DOWN / self._memory)) if lost else 1.0
             if end is not End.UNREACHED:
                 # guards: one that errors fast looks idle; each error is as bad as a late answer
-                self._measure(u, now, max(spent, lane.target), f.depth)
+                self._measure(u, now, max(spent, lane.target), f)
             if u.failing or u.run >= FAILURE_RUN:
                 u.failing = True
                 u.trial_at = now + HOLD_DOWN
 
-    def _measure(self, u: Upstream, now: float, latency: float, depth: int) -> None:
-        u.smooth(now, latency, depth, self._memory)
-        u.level.smooth(now, latency)
+    def _measure(self, u: Upstream, now: float, latency: float, f: Fetch) -> None:
+        u.smooth(now, latency, f.depth, self._memory)
+        u.level.smooth(now, latency, f.level_depth)
 
     def _close(self, visit: Visit, now: float, keep: Fetch | None = None) -> None:
         """The visit is over: what is still out for it is called off."""
@@ -505,6 +515,7 @@
         visit.fetches.append(f)
         visit.out += 1
         u.out[f] = None
+        u.level.out += 1
         u.sent_at = now
         if visit.held:
             visit.held = False
@@ -617,6 +628,7 @@
         pair = self._two(level.healthy, visit, now, inf)
         if len(pair) < 2 or all(now - u.report_at < FADE for u in pair):
             return False
+        self._dbgn[0] += 1
         visit.asks += 1
         visit.asked, visit.asked_at = pair, now
         for u in pair:
@@ -646,8 +658,12 @@
 
     def _predicted(self, u: Upstream, now: float) -> float:
         """The latency of one more: the expected one, scaled by what we have out; others do as we do."""
-        cold = 1.0 if now - u.start >= self._warm_within else 1 / max(0.25, self._warmth(u, now))
-        return u.expected(now, self._memory, cold) * (len(u.out) + 1) / u.depth
+        level = u.level
+        usual = level.latency * (level.out + 1) / level.depth
+        if now - u.start < self._warm_within:
+            usual /= max(0.25, self._warmth(u, now))
+        own = u.latency * (len(u.out) + 1) / u.depth
+        return usual + (own - usual) * exp((u.measured_at - now) / self._memory)
 
     def _has_room(self, u: Upstream, now: float, patience: float) -> bool:
         """Whether an upstream is predicted to answer one more within the patience."""
@@ -661,8 +677,11 @@
             return True
         # guards: a slow one still gets one now and then, to be measured; all balancers do so at once, so
         # each only as often as leaves the upstream UNCROWDED of them at a time
-        crowd = self._balancers / UNCROWDED - 1 if u.zone == self._zone else self._balancers
-        return now - u.sent_at >= crowd * predicted
+        return now - u.sent_at >= self._crowd(u) * predicted
+
+    def _crowd(self, u: Upstream) -> float:
+        """Latencies between visits of ours that leave an upstream UNCROWDED of all balancers' at a time."""
+        return self._balancers / UNCROWDED - 1 if u.zone == self._zone else self._balancers
 
     def _score(self, u: Upstream, now: float) -> float:
         """Own fetches out and the reported load, fading to the others' mean, which one unheard takes."""
@@ -780,6 +799,11 @@
     def _count(self, now: float) -> None:
         """Once a second: rates, and the capacity that warm upstreams are seen to have."""
         span = (now - self._second_at) / 1e3
+        if self._balancers > 100 and self._me_dbg:
+            self._host.log("DBG z%d pool %s base %.0f asked %.1f mem %.0f wait %.2f meanrep %.2f shares %s fail %d mark %d probed %s vals %s pat %s" % (
+                self._zone, [round(l.latency) for l in self._levels], self._base, self._asked, self._memory, self._waiting, self._mean_report,
+                [(round(a), z) for a, z in self._shares], sum(u.failing for u in self._ready), len(self._ready) - sum(len(l.healthy) for l in self._levels), self._dbgn,
+                [round(l.value, 2) for l in self._lanes], [round(self._bold * l.target * l.value / (l.value + 1)) for l in self._lanes]))
         self._second_at = now
         self._flow += 0.5 * (self._delivered / span - self._flow)
         self._asked += 0.3 * (self._taken / span - self._asked)
@@ -805,7 +829,9 @@
         if not arrived:
             return
         mean = sum(lane.gain * lane.arrived for lane in self._lanes) / arrived or 1.0
-        kept = [lane.in_time / lane.arrived if lane.arrived >= 1 else 1.0 for lane in self._lanes]
+        # guards: of a balancer that is asked little a few visits tell nothing; FEW of the mean are mixed in
+        overall = sum(lane.in_time for lane in self._lanes) / arrived
+        kept = [(lane.in_time + FEW * overall) / (lane.arrived + FEW) for lane in self._lanes]
         need = [exp((min(kept) - k) / 0.05) for k in kept]
         for lane, n in zip(self._lanes, need, strict=True):
             worst = n / sum(need) * arrived / max(1.0, lane.arrived)
@@ -825,8 +851,8 @@
                 lowest.append(low)
             latencies.append(u.expected(now, self._memory))
         self._mean_report = sum(heard) / len(heard) if heard else 0.0
-        lowest = lowest or [level.lowest for level in self._levels if level.lowest < inf]
-        self._base = sum(lowest) / len(lowest) if lowest else inf
+        lowest = lowest or [min(level.lowest for level in self._levels)]
+        self._base = sum(lowest) / len(lowest) if lowest else self._first_guess
         self._mean_latency = sum(latencies) / len(latencies) if latencies else 0.0
         counts = [0.0] * self._zones
         totals = [0] * self._zones
