Unsampled zones fade to the own zone's latency, unreached ones cost more to cross to

Cause: a zone that nobody has been to lately looked fast, so visits crossed to and fro; a cut one was tried again and again.

--- a/ospreyline/decide.py
+++ b/ospreyline/decide.py
@@ -572,8 +572,9 @@
 
     def _cost(self, visit: Visit, u: Upstream, now: float) -> float:
         """What a visit stands to lose at an upstream, by its wait and the fee, in the unit of its value."""
-        # were waits exponential
-        late = exp((visit.came - visit.target_at) / max(1e-3, self._predicted(u, now)))
+        # were waits exponential; and it may not be reached
+        late = 1 - u.level.reach_at(now) * (
+            1 - exp((visit.came - visit.target_at) / max(1e-3, self._predicted(u, now))))
         return visit.lane.value * late + (self._cross_fee if u.zone != self._zone else 0.0)
 
     def _patience(self, visit: Visit, fee: float) -> float:
@@ -658,6 +659,9 @@
 
     def _predicted(self, u: Upstream, now: float) -> float:
         """The latency of one more: the expected one, scaled by what we have out; others do as we do."""
+        # E2: it says itself that it is not busy; what we measured may be old
+        if not u.out and u.report < IDLE and now - u.report_at < 1.5 * PROBE_EVERY:
+            return min(u.latency or self._base, self._base)
         level = u.level
         usual = level.latency * (level.out + 1) / level.depth
         if now - u.start < self._warm_within:
@@ -672,9 +676,6 @@
             return True
         if u.out:
             return False
-        # E2: it says itself that it is not busy; what we measured may be old
-        if u.report < IDLE and now - u.report_at < 1.5 * PROBE_EVERY:
-            return True
         # guards: a slow one still gets one now and then, to be measured; all balancers do so at once, so
         # each only as often as leaves the upstream UNCROWDED of them at a time
         return now - u.sent_at >= self._crowd(u) * predicted
@@ -787,10 +788,13 @@
                 if late > LATENCY_MARK * expected:
                     u.latency = expected + 2 * SMOOTH * (late - expected)
                     u.measured_at = now
+        home = self._levels[self._zone]
         for level in self._levels:
-            if self._base < level.latency and now - level.measured_at > BEAT:
-                # guards: a zone passed over for being slow is never measured again, so that fades
-                level.latency += BEAT / FORGET * (self._base - level.latency)
+            if not level.out and now - level.measured_at > BEAT:
+                # guards: a zone passed over for being slow is never measured again, so that fades; but one
+                # that nobody has been to lately is not thought to be faster than the own one
+                usual = self._base if level is home else max(self._base, home.latency)
+                level.latency += BEAT / FORGET * (usual - level.latency)
         self._rank(now)
         self._follow(now)
         if self._may_probe:
