--- a/ospreyline/decide.py
+++ b/ospreyline/decide.py
@@ -43,7 +43,6 @@
 FURTHER = 2  # further backend fetches of a visit
 PROBE_SPEND = 0.002  # of the gain, the most that probes may cost
 PROBE_EVERY = 1_000.0  # ms between probes of an upstream, at most
-ASKS = 0  # times that a visit may have two upstreams asked before it is sent
 WAITED = 0.1  # of the shortest target latency: a probe that took so much longer than others has waited
 
 
@@ -113,7 +112,7 @@
 class Upstream:
     """All that is known of one upstream."""
 
-    __slots__ = ("allowed", "askers", "cell", "cold_sends", "depth", "drawn_at", "failing", "full_at", "heard_at", "id",
+    __slots__ = ("allowed", "cell", "cold_sends", "depth", "drawn_at", "failing", "full_at", "id",
                  "latency", "level", "lowest", "lowest_before", "lowest_since", "mark", "measured_at", "out",
                  "probed_at", "ready",
                  "report", "report_at", "run", "samples", "sent_at", "served", "since",
@@ -143,8 +142,6 @@
         self.report = 0.0
         self.report_at = -inf
         self.probed_at = -inf
-        self.heard_at = -inf  # a probe was answered
-        self.askers: list[Visit] = []  # visits that wait for its word
         self.sent_at = -inf
         self.served = 0
         self.cold_sends: deque[float] = deque()
@@ -169,7 +166,7 @@
         """Take in how long a fetch took that was sent as the depth-th one out."""
         self.latency = self.expected(now, memory)
         self.samples = self.samples * exp((self.measured_at - now) / memory) + 1
-        weight = max(SMOOTH, 1 / (self.samples + 2))
+        weight = max(SMOOTH, 1 / (self.samples + 1))
         self.measured_at = now
         self.latency += weight * (latency - self.latency)
         self.depth += weight * (depth - self.depth)
@@ -209,7 +206,7 @@
 class Visit:
     """The handle of a visit that was taken."""
 
-    __slots__ = ("_balancer", "asked", "asked_at", "asks", "came", "done", "expires", "fetches", "held",
+    __slots__ = ("_balancer", "came", "done", "expires", "fetches", "held",
                  "key", "lane", "out", "tag", "target_at")
 
     def __init__(self, balancer: Balancer, tag: int, lane: Lane, now: float, ttl: float,
@@ -228,9 +225,6 @@
         self.out = 0
         self.held = False
         self.done = False
-        self.asks = 0
-        self.asked: list[Upstream] = []  # while it waits for their word
-        self.asked_at = 0.0
 
     @property
     def settled(self) -> bool:
@@ -312,8 +306,6 @@
         self._base = self._first_guess  # mean of the lowest latencies
         self._memory = FORGET  # how long what was measured of an upstream holds
         self._looking = False
-        self._me_dbg = seed % 40 == 0
-        self._dbgn = [0, 0, 0]
         self._waiting = 0.0  # share of probes that waited in a queue
         self._probes_due = 0.0
         self._worst_prefix = terms.worst_prefix
@@ -364,9 +356,7 @@
     def probed(self, now: float, upstream: int, end: End, spent: float, report: tuple[float, ...]) -> None:
         """A probe has ended."""
         u = self._upstreams[upstream]
-        askers, u.askers = u.askers, []
         if end is End.DELIVERED:
-            u.heard_at = now
             self._take_report(u, now, report)
             u.level.probe = min(u.level.probe, spent)
             wait = spent - u.level.probe
@@ -376,9 +366,6 @@
                 # some probes are served beside the queue; others wait in it, and tell how long it is
                 u.latency, u.measured_at = self._base + wait, now
                 u.level.smooth(now, self._base + wait, u.level.out + 1)
-            for visit in askers:
-                if all(a.heard_at >= visit.asked_at for a in visit.asked):
-                    self._asked_enough(visit, visit.asks, now)
         elif u.failing and end is not End.FULL:
             u.trial_at = now + HOLD_DOWN / 4  # guards: no trial visit is spent on one that no probe reaches
 
@@ -550,12 +537,6 @@
             return u is not None and self._send(visit, u, now)
         drawn = self._random() * self._shares[-1][0]
         zone = next((z for total, z in self._shares if drawn < total), self._zone)
-        if visit.asks:  # nobody there had room
-            zone = min(self._order, key=lambda z: visit.lane.value * exp(
-                (visit.came - visit.target_at) / self._levels[z].latency)
-                + self._cross_fee * (z != self._zone))
-        if self._may_probe and self._ask(visit, zone, now):
-            return True
         patience = self._patience(visit, self._cross_fee if zone != self._zone else 0.0)
         best = self._lower_of_two(self._levels[zone].healthy, visit, now, patience)
         cost = self._cost(visit, best, now) if best else visit.lane.value
@@ -585,19 +566,6 @@
     def _lower_of_two(self, level: list[Upstream], visit: Visit, now: float,
                       patience: float) -> Upstream | None:
         """The lower-scored of two random upstreams that have room for the visit and may take it."""
-        pair = self._two(level, visit, now, patience)
-        if not pair:
-            return None
-        if len(pair) < 2:
-            return pair[0]
-        a, b = pair
-        x, y = self._score(a, now), self._score(b, now)
-        if x == y:
-            return a if self._random() < 0.5 else b
-        return a if x < y else b
-
-    def _two(self, level: list[Upstream], visit: Visit, now: float, patience: float) -> list[Upstream]:
-        """Two random upstreams that have room for the visit and may take it, if there are."""
         tried = [f.upstream for f in visit.fetches] if visit.fetches else ()
         a = None
         if visit.key and level:
@@ -612,44 +580,14 @@
             level[i], level[j] = u, level[i]
             if u is a or u in tried or not self._fit(u, visit, now, patience):
                 continue
-            if a is not None:
-                return [a, u]
-            a = u
-        return [a] if a else []
-
-    def _ask(self, visit: Visit, zone: int, now: float) -> bool:
-        """Have two of a zone probed before the visit is sent, where that is worth its price."""
-        # E7: with hundreds of balancers nobody has fresh reports; two probes cost less than a late answer
-        lane, level = visit.lane, self._levels[zone]
-        wait = self._patience(visit, 0.0) - self._base
-        if visit.asks >= ASKS or wait < LOOK or now > self._hold_until(visit):
-            return False
-        if lane.value * exp((visit.came - visit.target_at) / level.latency) < 2 * self._probe_fee:
-            return False
-        pair = self._two(level.healthy, visit, now, inf)
-        if len(pair) < 2 or all(now - u.report_at < FADE for u in pair):
-            return False
-        self._dbgn[0] += 1
-        visit.asks += 1
-        visit.asked, visit.asked_at = pair, now
-        for u in pair:
-            if not u.askers:
-                u.probed_at = now
-                self._host.probe(u.id)
-            u.askers.append(visit)
-        asks = visit.asks
-        self._host.wake(now + wait, lambda at: self._asked_enough(visit, asks, at))
-        return True
-
-    def _asked_enough(self, visit: Visit, asks: int, now: float) -> None:
-        """The asked ones have answered, or the time for it is up."""
-        if visit.done or not visit.asked or visit.asks != asks:
-            return
-        heard = [u for u in visit.asked if u.heard_at >= visit.asked_at]
-        visit.asked = []
-        u = self._lower_of_two(heard, visit, now, self._patience(visit, 0.0))
-        if not (u and self._send(visit, u, now)) and not self._place(visit, now):
-            self._hold(visit, now)
+            if a is None:
+                a = u
+                continue
+            x, y = self._score(a, now), self._score(u, now)
+            if x == y:
+                return a if self._random() < 0.5 else u
+            return a if x < y else u
+        return a
 
     def _fit(self, u: Upstream, visit: Visit, now: float, patience: float) -> bool:
         """Whether it has room for the visit and may take it; a fresh one is passed over by chance."""
@@ -803,11 +741,6 @@
     def _count(self, now: float) -> None:
         """Once a second: rates, and the capacity that warm upstreams are seen to have."""
         span = (now - self._second_at) / 1e3
-        if self._balancers > 100 and self._me_dbg:
-            self._host.log("DBG z%d pool %s base %.0f asked %.1f mem %.0f wait %.2f meanrep %.2f shares %s fail %d mark %d probed %s vals %s pat %s" % (
-                self._zone, [round(l.latency) for l in self._levels], self._base, self._asked, self._memory, self._waiting, self._mean_report,
-                [(round(a), z) for a, z in self._shares], sum(u.failing for u in self._ready), len(self._ready) - sum(len(l.healthy) for l in self._levels), self._dbgn,
-                [round(l.value, 2) for l in self._lanes], [round(self._bold * l.target * l.value / (l.value + 1)) for l in self._lanes]))
         self._second_at = now
         self._flow += 0.5 * (self._delivered / span - self._flow)
         self._asked += 0.3 * (self._taken / span - self._asked)
