--- a/ospreyline/decide.py
+++ b/ospreyline/decide.py
@@ -70,8 +70,8 @@
 class Level:
     """A zone: its healthy upstreams, and what fetches to it tell of those that are seldom met."""
 
-    __slots__ = ("capacity", "depth", "healthy", "latency", "lowest", "measured_at", "out", "probe", "rate", "reach",
-                 "reached_at", "samples")
+    __slots__ = ("capacity", "depth", "healthy", "kept", "latency", "lowest", "measured_at", "out", "probe",
+                 "rate", "reach", "reached_at", "samples")
 
     def __init__(self, latency: float, guess: float) -> None:
         self.healthy: list[Upstream] = []
@@ -84,6 +84,7 @@
         self.probe = inf  # the shortest answer to a probe
         self.reach = 1.0  # share of its fetches that found a process, smoothed
         self.reached_at = -inf
+        self.kept = 1.0  # share of its fetches answered within the target latency, smoothed
         self.rate = 0.0  # visits a second that one of its warm upstreams delivers for us, smoothed
         self.capacity = 0.0  # the most of that of late
 
@@ -410,6 +411,8 @@
             return
         lost = end is End.UNREACHED or end is End.RESET
         u.level.reached(now, not lost)
+        in_time = end is End.DELIVERED and spent <= lane.target
+        u.level.kept += SMOOTH * (in_time - u.level.kept)
         if end is End.DELIVERED:
             u.served += 1
             u.run = 0.0
@@ -601,7 +604,7 @@
         if not u.out and u.report < IDLE and now - u.report_at < 1.5 * PROBE_EVERY:
             return min(u.latency or self._base, self._base)
         level = u.level
-        usual = level.latency * (level.out + 1) / level.depth
+        usual = level.latency * (level.out + 1) / level.depth / max(0.25, level.kept) ** 2
         if now - u.start < self._warm_within:
             usual /= max(0.25, self._warmth(u, now))
         own = u.latency * (len(u.out) + 1) / u.depth
@@ -733,6 +736,7 @@
                 # that nobody has been to lately is not thought to be faster than the own one
                 usual = self._base if level is home else max(self._base, home.latency)
                 level.latency += BEAT / FORGET * (usual - level.latency)
+                level.kept += BEAT / FORGET * (1 - level.kept)
         self._rank(now)
         self._follow(now)
         if self._may_probe:
