--- a/ospreyline/decide.py
+++ b/ospreyline/decide.py
@@ -36,7 +36,6 @@
 SMOOTH = 0.1  # weight of a new sample in smoothed figures
 REACH = 0.3  # weight of a new sample in the share of a zone's fetches that find a process
 PATIENCE = 0.9  # share of the target latency that a visit of great value accepts as predicted latency
-IDLE = 0.75  # a report under this tells of idle cores (util) or of nobody waiting (queue)
 FIRST_GUESS = 0.2  # of the shortest target latency: an upstream's latency until it is measured
 UNCROWDED = 3.0  # visits that any upstream may hold at a time, however slow it is
 MIX, MASK = 0xD6E8FEB86659FD93, (1 << 64) - 1  # to hash a key with an upstream's mark
@@ -600,9 +599,6 @@
 
     def _predicted(self, u: Upstream, now: float) -> float:
         """The latency of one more: the expected one, scaled by what we have out; others do as we do."""
-        # E2: it says itself that it is not busy; what we measured may be old
-        if not u.out and u.report < IDLE and now - u.report_at < 1.5 * PROBE_EVERY:
-            return min(u.latency or self._base, self._base)
         level = u.level
         usual = level.latency * (level.out + 1) / level.depth / max(0.25, level.kept) ** 2
         if now - u.start < self._warm_within:
