--- a/ospreyline/decide.py
+++ b/ospreyline/decide.py
@@ -600,7 +600,7 @@
     def _predicted(self, u: Upstream, now: float) -> float:
         """The latency of one more: the expected one, scaled by what we have out; others do as we do."""
         level = u.level
-        usual = level.latency * (level.out + 1) / level.depth / max(0.25, level.kept) ** 2
+        usual = level.latency * max(1.0, (level.out + 1) / level.depth) / max(0.25, level.kept) ** 2
         if now - u.start < self._warm_within:
             usual /= max(0.25, self._warmth(u, now))
         own = u.latency * (len(u.out) + 1) / u.depth
