Each of many balancers uses a few upstreams of a zone, evenly spread by its number (E7)

Cause: with one visit at an upstream every 15 s nothing learnt of it holds; with four a zone each is met every second or two, and connections are fewer.

--- a/ospreyline/decide.py
+++ b/ospreyline/decide.py
@@ -37,7 +37,10 @@
 REACH = 0.3  # weight of a new sample in the share of a zone's fetches that find a process
 PATIENCE = 0.9  # share of the target latency that a visit of great value accepts as predicted latency
 FIRST_GUESS = 0.2  # of the shortest target latency: an upstream's latency until it is measured
+SHARED_BY = 4  # balancers of a zone that send to an upstream there, at the least
+USED = 4  # upstreams of a zone that a balancer sends to, at the least
 UNCROWDED = 3.0  # visits that any upstream may hold at a time, however slow it is
+GOLDEN = 0.6180339887498949
 MIX, MASK = 0xD6E8FEB86659FD93, (1 << 64) - 1  # to hash a key with an upstream's mark
 FURTHER = 2  # further backend fetches of a visit
 PROBE_SPEND = 0.002  # of the gain, the most that probes may cost
@@ -70,7 +73,7 @@
     """A zone: its healthy upstreams, and what fetches to it tell of those that are seldom met."""
 
     __slots__ = ("capacity", "depth", "healthy", "kept", "latency", "lowest", "measured_at", "out", "probe",
-                 "rate", "reach", "reached_at", "samples")
+                 "rate", "reach", "reached_at", "samples", "used")
 
     def __init__(self, latency: float, guess: float) -> None:
         self.healthy: list[Upstream] = []
@@ -83,6 +86,7 @@
         self.probe = inf  # the shortest answer to a probe
         self.reach = 1.0  # share of its fetches that found a process, smoothed
         self.reached_at = -inf
+        self.used = 1.0  # share of its upstreams that we send to
         self.kept = 1.0  # share of its fetches answered within the target latency, smoothed
         self.rate = 0.0  # visits a second that one of its warm upstreams delivers for us, smoothed
         self.capacity = 0.0  # the most of that of late
@@ -291,6 +295,9 @@
         self._ask_at = now + self._random() * spread if terms.ask_for_list else inf
         self._ask_wait = 500.0
         self._upstreams: dict[int, Upstream] = {}
+        self._ring: list[Upstream] = []  # in an order that is the same at every balancer
+        self._place_in_ring = terms.number * GOLDEN % 1  # spread evenly, whichever numbers a zone has
+        self._used_share = SHARED_BY * terms.zones / terms.balancers
         self._ready: list[Upstream] = []
         self._due: list[Upstream] = []  # failing ones whose trial is due
         self._shares: list[tuple[float, int]] = []  # running total of the shares, zone
@@ -345,6 +352,8 @@
             start = min(line.came_up, now) if line.came_up > 0 else -inf
             if start > u.start or not (was or first):
                 u.reborn(now, start)  # guards: a returning machine is cold, whatever was learnt of it
+        if len(self._ring) < len(self._upstreams):
+            self._ring = sorted(self._upstreams.values(), key=lambda u: u.mark * MIX & MASK)
         self._rank(now)
 
     def told_nothing(self, now: float) -> None:
@@ -593,7 +602,7 @@
 
     def _fit(self, u: Upstream, visit: Visit, now: float, patience: float) -> bool:
         """Whether it has room for the visit and may take it; a fresh one is passed over by chance."""
-        return (self._has_room(u, now, patience)
+        return ((not u.failing or not self._shares) and self._has_room(u, now, patience)
                 and (now - u.start >= self._warm_within or self._random() < self._warmth(u, now))
                 and self._may_go(visit, u, now))
 
@@ -619,7 +628,8 @@
 
     def _crowd(self, u: Upstream) -> float:
         """Latencies between visits of ours that leave an upstream UNCROWDED of all balancers' at a time."""
-        return self._balancers / UNCROWDED - 1 if u.zone == self._zone else self._balancers
+        sharing = self._balancers * min(1.0, u.level.used)
+        return max(0.0, sharing / UNCROWDED - 1) if u.zone == self._zone else sharing
 
     def _score(self, u: Upstream, now: float) -> float:
         """Own fetches out and the reported load, fading to the others' mean, which one unheard takes."""
@@ -745,19 +755,17 @@
         self._flow += 0.5 * (self._delivered / span - self._flow)
         self._asked += 0.3 * (self._taken / span - self._asked)
         self._delivered = self._taken = 0
-        warm = [[0, 0] for _ in range(self._zones)]
-        for u in self._upstreams.values():
-            if u.ready and not u.failing and now - u.start >= self._warm_within:
-                warm[u.zone][0] += u.served
-                warm[u.zone][1] += 1
-            u.served = 0
-        for level, (served, count) in zip(self._levels, warm, strict=True):
-            if count:
-                level.rate += SMOOTH * (served / count / span - level.rate)
+        in_use = sum(len(level.healthy) for level in self._levels)
+        for level in self._levels:
+            warm = [u.served for u in level.healthy if now - u.start >= self._warm_within]
+            if warm:
+                level.rate += SMOOTH * (sum(warm) / len(warm) / span - level.rate)
             # where nothing is known yet, half of what we are asked would go round evenly
-            guess = 0.5 * self._asked / max(1, len(self._ready))
+            guess = 0.5 * self._asked / max(1, in_use)
             level.capacity = max(0.99 * level.capacity, level.rate, guess)
-        self._memory = max(FORGET, 1e3 * len(self._ready) / max(0.1, self._asked))
+        for u in self._ready:
+            u.served = 0
+        self._memory = max(FORGET, 1e3 * in_use / max(0.1, self._asked))
         self._weigh()
 
     def _weigh(self) -> None:
@@ -779,7 +787,7 @@
 
     def _rank(self, now: float) -> None:
         """Healths, shares and candidates, from what each record says now."""
-        ready = self._ready = [u for u in self._upstreams.values() if u.ready]
+        ready = self._ready = [u for u in self._ring if u.ready]
         heard, lowest, latencies = [], [], []
         for u in ready:
             if u.report_at > -inf:
@@ -794,24 +802,32 @@
         counts = [0.0] * self._zones
         totals = [0] * self._zones
         reach = [level.reach_at(now) for level in self._levels]
-        for level in self._levels:
-            level.healthy = []
         self._due = []
+        rings: list[list[tuple[Upstream, float]]] = [[] for _ in range(self._zones)]
         for u, latency in zip(ready, latencies, strict=True):
+            rings[u.zone].append((u, latency))
             totals[u.zone] += 1
-            if u.failing:
-                if now >= u.trial_at:
-                    self._due.append(u)
+            if u.failing or u.marked(latency, self._mean_latency, self._harmless):
                 continue
-            if u.marked(latency, self._mean_latency, self._harmless):
-                continue
-            u.level.healthy.append(u)
             count = min(1.0, (now - u.since) / RAMP)
             high = u.report * exp((u.report_at - now) / FADE) > HIGH_REPORT * self._mean_report + 0.5
             if high or now - u.full_at < FULL_MEMORY:
                 count /= 2
             # E6: one that we have not met for long is as likely up as those of its zone that we have met
             counts[u.zone] += count * (reach[u.zone] if now - u.measured_at > FORGET else 1.0)
+        for level, ring in zip(self._levels, rings, strict=True):
+            # E7: of hundreds of balancers each sends to a few upstreams of a zone, so that it knows them:
+            # the next healthy ones in the ring from its own place, so that all upstreams are used alike
+            first, level.healthy = int(self._place_in_ring * len(ring)), []
+            level.used = max(USED, self._used_share * len(ring)) / max(1, len(ring))
+            for u, latency in ring[first:] + ring[:first]:
+                if len(level.healthy) >= level.used * len(ring):
+                    break
+                if u.failing:
+                    if now >= u.trial_at:
+                        self._due.append(u)
+                elif not u.marked(latency, self._mean_latency, self._harmless):
+                    level.healthy.append(u)
         healths = [min(100.0, FACTOR * 100 * counts[z] / max(1, totals[z])) for z in self._order]
         self._shares = shares(self._order, healths)
 
@@ -824,17 +840,17 @@
 
     def _probe(self, now: float) -> None:
         """Probe where allowed, as often as their price permits; failing ones before their trial."""
-        ready = self._ready
-        if not ready or self._load_field < 0:
+        in_use = [u for level in self._levels for u in level.healthy]
+        if not in_use or self._load_field < 0:
             return
         # guards: all balancers that start at once probe at once, unless as rarely as they are asked
-        rate = 1e3 * len(ready) / PROBE_EVERY
+        rate = 1e3 * len(in_use) / PROBE_EVERY
         if self._probe_fee:
             rate = min(rate, PROBE_SPEND / self._probe_fee * self._asked)
         self._probes_due += rate * BEAT / 1e3
         while self._probes_due >= 1:
             self._probes_due -= 1
-            u = ready[int(self._random() * len(ready))]
+            u = in_use[int(self._random() * len(in_use))]
             if now - u.probed_at >= PROBE_EVERY:
                 u.probed_at = now
                 self._host.probe(u.id)
--- a/ospreyline/drill/facts.py
+++ b/ospreyline/drill/facts.py
@@ -66,6 +66,7 @@
     path_prefixes: list[_Prefix]
     zone: int = 0
     balancers: int = 1
+    me: int = 0
     dcs: list[str] = []
     discovery: str = "push"
     caps: _Caps = msgspec.field(default_factory=_Caps)
@@ -111,6 +112,7 @@
         zone=facts.zone,
         zones=max(1, len(facts.dcs)),
         balancers=max(1, facts.balancers),
+        number=facts.me,
         prefixes=tuple(prefixes),
         max_fetches=caps.most_backend_fetches,
         may_copy=caps.may_duplicate,
--- a/ospreyline/host.py
+++ b/ospreyline/host.py
@@ -85,6 +85,7 @@
     zone: int
     zones: int
     balancers: int
+    number: int  # of this balancer among them, from 0
     prefixes: tuple[PathPrefix, ...]
     max_fetches: int = 3
     may_copy: bool = False  # two backend fetches of a visit out at once
--- a/tests/fake_host.py
+++ b/tests/fake_host.py
@@ -13,7 +13,8 @@
     return PathPrefix(kind, scope, 1_500.0, 1_000.0, 2_500.0, gain, 0.0)
 
 
-PLAIN = Deployment(zone=0, zones=3, balancers=3, prefixes=(prefix(Kind.READ_LIKE),), ask_for_list=False)
+PLAIN = Deployment(
+    zone=0, zones=3, balancers=3, number=0, prefixes=(prefix(Kind.READ_LIKE),), ask_for_list=False)
 
 
 def listed(upstream: int, zone: int = 0, cell: int = 0, came_up: float = 0.0,
