Geometric mean for a zone's latency; fewer failures eject where few fail

Cause: stuck servers dragged the pooled latency of their zone up, so healthy ones had no room; and five failures of a seldom met server take half a minute.

--- a/ospreyline/decide.py
+++ b/ospreyline/decide.py
@@ -13,7 +13,7 @@
 from __future__ import annotations
 
 from collections import deque
-from math import exp, inf
+from math import exp, inf, log
 from random import Random
 
 from ospreyline.host import NEVER_RAN, Deployment, End, Host, Kind, Listed, PathPrefix, Readiness, Scope
@@ -98,7 +98,8 @@
         if self.measured_at > -inf:
             weight = max(weight, 1 - exp((self.measured_at - now) / FORGET))
         self.measured_at = now
-        self.latency += weight * (latency - self.latency)
+        # guards: a geometric mean, or one or two stuck upstreams make their whole zone look slow
+        self.latency *= (max(1.0, latency) / self.latency) ** weight
         self.depth += weight * (depth - self.depth)
         if self.samples * SMOOTH >= 1:
             self.lowest = min(self.lowest, self.latency)
@@ -433,9 +434,9 @@
             if u.failing:
                 u.trial_at = now + HOLD_DOWN
         else:
-            # guards: where a run of failures would take longer than a hold-down to show, a lost connection
-            # counts for as much of it as there are visits too few; a late answer may be but a heavy visit
-            u.run += FAILURE_RUN / min(FAILURE_RUN, max(1.0, HOLD_DOWN / self._memory)) if lost else 1.0
+            # guards: a stuck upstream costs a visit each time. Five failures say it where one in six fails by
+            # chance; where fewer do, fewer say as much
+            u.run += max(1.0, log(max(0.01, 1 - u.level.kept)) / log(1 / 6))
             if end is not End.UNREACHED:
                 # guards: one that errors fast looks idle; each error is as bad as a late answer
                 self._measure(u, now, max(spent, lane.target), f)
@@ -609,7 +610,7 @@
     def _predicted(self, u: Upstream, now: float) -> float:
         """The latency of one more: the expected one, scaled by what we have out; others do as we do."""
         level = u.level
-        usual = level.latency * max(1.0, (level.out + 1) / level.depth) / max(0.25, level.kept) ** 2
+        usual = level.latency * max(1.0, (level.out + 1) / level.depth)
         if now - u.start < self._warm_within:
             usual /= max(0.25, self._warmth(u, now))
         own = u.latency * (len(u.out) + 1) / u.depth
