--- a/ospreyline/decide.py
+++ b/ospreyline/decide.py
@@ -436,7 +436,8 @@
         else:
             # guards: a stuck upstream costs a visit each time. Five failures say it where one in six fails by
             # chance; where fewer do, fewer say as much
-            u.run += max(1.0, log(max(0.01, 1 - u.level.kept)) / log(1 / 6))
+            best = max((level.kept for level in self._levels if level.samples >= FEW), default=0.0)
+            u.run += max(1.0, log(max(0.01, 1 - best)) / log(1 / 6))
             if end is not End.UNREACHED:
                 # guards: one that errors fast looks idle; each error is as bad as a late answer
                 self._measure(u, now, max(spent, lane.target), f)
@@ -573,7 +574,8 @@
     def _patience(self, visit: Visit, fee: float) -> float:
         """The predicted latency that a visit accepts: more for more gain, so that low gain yields first."""
         value = max(0.0, visit.lane.value - fee)
-        return self._bold * (visit.target_at - visit.came) * value / (value + 1)
+        target = visit.target_at - visit.came
+        return self._base + self._bold * max(0.0, target - self._base) * value / (value + 1)
 
     def _lower_of_two(self, level: list[Upstream], visit: Visit, now: float,
                       patience: float) -> Upstream | None:
