One seen capacity for all zones in the cold budget, a zone's part of the rule's factor

Cause: where our own visits seldom go the seen capacity was nothing, so servers back from the cold in another zone got no visits.

--- a/ospreyline/decide.py
+++ b/ospreyline/decide.py
@@ -72,7 +72,7 @@
 class Level:
     """A zone: its healthy upstreams, and what fetches to it tell of those that are seldom met."""
 
-    __slots__ = ("capacity", "depth", "healthy", "kept", "latency", "lowest", "measured_at", "out", "probe",
+    __slots__ = ("depth", "healthy", "kept", "latency", "lowest", "measured_at", "out", "probe",
                  "rate", "reach", "reached_at", "samples", "used")
 
     def __init__(self, latency: float, guess: float) -> None:
@@ -89,7 +89,6 @@
         self.used = 1.0  # share of its upstreams that we send to
         self.kept = 1.0  # share of its fetches answered within the target latency, smoothed
         self.rate = 0.0  # visits a second that one of its warm upstreams delivers for us, smoothed
-        self.capacity = 0.0  # the most of that of late
 
     def smooth(self, now: float, latency: float, depth: int) -> None:
         """Take in how long a fetch to the zone took that was sent as the depth-th one out there."""
@@ -284,9 +283,10 @@
         self._warm_within = terms.warm_within
         self._tip_after = terms.tip_after
         self._warm_keys = terms.warm_keys
-        # cold sends a window at a capacity of one a second: a third of the rule's, for machines slower than
-        # their zone's mean, for heavy visits and for chance
-        self._cold_window = terms.overload_factor * terms.tip_after / 3e3
+        # cold sends a window at a capacity of one a second: the balancers of a zone together bring a warm
+        # upstream no more than it can do, but those of any zone may send to a cold one
+        self._cold_window = terms.overload_factor * terms.tip_after / 1e3 / max(3, terms.zones)
+        self._capacity = 0.0  # visits a second that a warm upstream is seen to carry for us
         fields = terms.report_fields
         self._load_field = next((fields.index(f) for f in ("in-flight", "queue", "util") if f in fields), -1)
         self._must_ask_in = terms.must_ask_in if terms.ask_for_list else inf
@@ -489,7 +489,7 @@
             if now - u.drawn_at >= self._tip_after:
                 # guards: a part under one send is kept by chance, drawn for each window and never saved up,
                 # or hundreds of balancers would each send the one they have left at the same moment
-                part = self._cold_window * u.level.capacity * self._warmth(u, now)
+                part = self._cold_window * self._capacity * self._warmth(u, now)
                 u.allowed = int(part + self._random())
                 u.drawn_at = now
             return len(sends) < u.allowed
@@ -582,11 +582,13 @@
         """The lower-scored of two random upstreams that have room for the visit and may take it."""
         tried = [f.upstream for f in visit.fetches] if visit.fetches else ()
         a = None
-        if visit.key and level:
-            # E5: where upstreams remember keys, one of the two is the key's own, the same for all its visits
-            own = max(level, key=lambda u: ((visit.key ^ u.mark) * MIX & MASK) * MIX & MASK)
-            if own not in tried and self._fit(own, visit, now, patience):
-                a = own
+        if visit.key:
+            # E5: where upstreams remember keys, one of the two is the key's own, the same for all its visits;
+            # the next by hash if that has no room
+            for u in sorted(level, key=lambda u: ((visit.key ^ u.mark) * MIX & MASK) * MIX & MASK):
+                if u not in tried and self._fit(u, visit, now, patience):
+                    a = u
+                    break
         n = len(level)
         for i in range(n):  # drawn without putting back until two are found
             j = i + int(self._random() * (n - i))
@@ -763,9 +765,9 @@
             warm = [u.served for u in level.healthy if now - u.start >= self._warm_within]
             if warm:
                 level.rate += SMOOTH * (sum(warm) / len(warm) / span - level.rate)
-            # where nothing is known yet, half of what we are asked would go round evenly
-            guess = 0.5 * self._asked / max(1, in_use)
-            level.capacity = max(0.99 * level.capacity, level.rate, guess)
+        # where nothing is known yet, half of what we are asked would go round evenly
+        guess = 0.5 * self._asked / max(1, in_use)
+        self._capacity = max(0.99 * self._capacity, guess, *(level.rate for level in self._levels))
         for u in self._ready:
             u.served = 0
         self._memory = max(FORGET, 1e3 * in_use / max(0.1, self._asked))
