--- a/ospreyline/decide.py
+++ b/ospreyline/decide.py
@@ -36,6 +36,7 @@
 SMOOTH = 0.1  # weight of a new sample in smoothed figures
 REACH = 0.3  # weight of a new sample in the share of a zone's fetches that find a process
 PATIENCE = 0.9  # share of the target latency that a visit of great value accepts as predicted latency
+IDLE_SHARE = 0.4  # of an idle upstream's latency that comes on top of patience
 FIRST_GUESS = 0.2  # of the shortest target latency: an upstream's latency until it is measured
 SHARED_BY = 4  # balancers of a zone that send to an upstream there, at the least
 USED = 4  # upstreams of a zone that a balancer sends to, at the least
@@ -575,7 +576,7 @@
         """The predicted latency that a visit accepts: more for more gain, so that low gain yields first."""
         value = max(0.0, visit.lane.value - fee)
         target = visit.target_at - visit.came
-        return self._base + self._bold * max(0.0, target - self._base) * value / (value + 1)
+        return IDLE_SHARE * self._base + self._bold * max(0.0, target - self._base) * value / (value + 1)
 
     def _lower_of_two(self, level: list[Upstream], visit: Visit, now: float,
                       patience: float) -> Upstream | None:
