--- a/ospreyline/decide.py
+++ b/ospreyline/decide.py
@@ -421,6 +421,7 @@
             return
         lost = end is End.UNREACHED or end is End.RESET
         u.level.reached(now, not lost)
+        best = max((level.kept for level in self._levels if level.samples >= FEW), default=0.0)
         in_time = end is End.DELIVERED and spent <= lane.target
         u.level.kept += SMOOTH * (in_time - u.level.kept)
         if end is End.DELIVERED:
@@ -437,7 +438,6 @@
         else:
             # guards: a stuck upstream costs a visit each time. Five failures say it where one in six fails by
             # chance; where fewer do, fewer say as much
-            best = max((level.kept for level in self._levels if level.samples >= FEW), default=0.0)
             u.run += max(1.0, log(max(0.01, 1 - best)) / log(1 / 6))
             if end is not End.UNREACHED:
                 # guards: one that errors fast looks idle; each error is as bad as a late answer
@@ -834,6 +834,8 @@
                         self._due.append(u)
                 elif not u.marked(latency, self._mean_latency, self._harmless):
                     level.healthy.append(u)
+            if not level.samples:
+                level.depth = max(1.0, len(level.healthy))  # until measured, one at each is as usual
         healths = [min(100.0, FACTOR * 100 * counts[z] / max(1, totals[z])) for z in self._order]
         self._shares = shares(self._order, healths)
 
--- a/tests/fake_host.py
+++ b/tests/fake_host.py
@@ -23,7 +23,7 @@
 
 
 class FakeHost:
-    def __init__(self, lines: list[Listed], start: float = 100_000.0, **terms: object) -> None:
+    def __init__(self, lines: list[Listed], start: float = 100_000.0, seed: int = 7, **terms: object) -> None:
         self.now = start
         self.sends: list[tuple[int, int, float, float]] = []  # tag, upstream, time-out, when
         self.bounced: dict[int, float] = {}
@@ -33,7 +33,7 @@
         self.watches: list[float] = []
         self.wakes: list[tuple[float, Callable[[float], None]]] = []
         self.tags = 0
-        self.balancer = Balancer(self, replace(PLAIN, **terms), 7, start)  # type: ignore[arg-type]
+        self.balancer = Balancer(self, replace(PLAIN, **terms), seed, start)  # type: ignore[arg-type]
         self.balancer.told_all(self.now, lines)
 
     def send(self, tag: int, upstream: int, time_out: float) -> None:
--- /dev/null
+++ b/tests/test_many.py
@@ -0,0 +1,125 @@
+"""What was met with hundreds of balancers, each seeing little."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+import pytest
+from fake_host import FakeHost, listed, prefix
+
+from ospreyline.decide import Visit
+from ospreyline.host import End, Kind
+
+
+def test_each_of_many_balancers_uses_a_few_upstreams_and_all_are_used_alike():
+    # met at full size: one visit at an upstream every 15 s teaches nothing of it
+    users = Counter()
+    for number in range(0, 300, 3):
+        host = FakeHost([listed(i) for i in range(20)], balancers=300, number=number)
+        used = {u.id for u in host.balancer._levels[0].healthy}
+        assert len(used) == 4 and set(host.serve(12)) <= used
+        users.update(used)
+    assert len(users) == 20 and max(users.values()) <= 1.25 * min(users.values())
+
+
+def test_a_lost_upstream_in_use_is_replaced_by_the_next_and_comes_back():
+    host = FakeHost([listed(i) for i in range(20)], balancers=300)
+    before = {u.id for u in host.balancer._levels[0].healthy}
+    lost = min(before)
+    host.balancer._upstreams[lost].failing, host.balancer._upstreams[lost].trial_at = True, host.now + 1e9
+    host.pass_time(500)
+    after = {u.id for u in host.balancer._levels[0].healthy}
+    assert len(after) == 4 and len(before & after) == 3 and lost not in after
+    host.balancer._upstreams[lost].failing = False
+    host.pass_time(500)
+    assert {u.id for u in host.balancer._levels[0].healthy} == before
+
+
+def test_hundreds_grant_no_free_first_visit_at_a_crowded_upstream():
+    # met at full size: 2000 such visits in the first seconds overran a fleet
+    sends = 0
+    for seed in range(100):
+        host = FakeHost([listed(i) for i in range(8)], seed=seed, balancers=300)
+        for level in host.balancer._levels:
+            level.latency = 5_000.0
+        host.take()
+        sends += len(host.sends)
+    assert sends < 30
+
+
+def test_a_stuck_upstream_does_not_make_its_zone_look_slow():
+    # met on an incident: two of twelve that answered nothing had a third of all visits bounced
+    host = FakeHost([listed(i) for i in range(10)])
+    for _ in range(60):
+        visit = host.take()
+        stuck = visit.fetches[0].upstream.id < 2
+        host.end(visit, End.TIMED_OUT if stuck else End.DELIVERED, 900.0 if stuck else 50.0)
+        while visit.out:
+            host.end(visit, End.DELIVERED)
+    assert host.balancer._levels[0].latency < 200
+
+
+def test_a_zone_that_nobody_has_been_to_lately_is_not_thought_to_be_faster():
+    # met at full size: visits crossed to and fro between zones that were as slow
+    host = FakeHost([listed(i, zone=i % 2) for i in range(6)], cross_fee=0.3)
+    for _ in range(20):
+        visit = host.take()
+        if visit.out:
+            host.end(visit, End.DELIVERED, 400)
+    home, away = host.balancer._levels[0], host.balancer._levels[1]
+    assert away.latency > 0.7 * home.latency > 150
+
+
+@pytest.mark.parametrize(("late", "needed"), [(0.0, 2), (0.1, 4), (0.2, 5)])
+def test_fewer_failures_in_a_row_eject_where_fewer_fail(late, needed):
+    # met on an incident: five failures of an upstream that is seldom met take half a minute
+    host = FakeHost([listed(i) for i in range(4)], prefixes=(prefix(Kind.MUTATING),))
+    level = host.balancer._levels[0]
+    host.serve(40)
+    level.kept, bad = 1 - late, host.balancer._upstreams[3]
+    failures = 0
+    while not bad.failing:
+        visit = host.take()
+        failed = visit.fetches[0].upstream is bad
+        failures += failed
+        host.end(visit, End.RESET if failed else End.DELIVERED)
+        level.kept = 1 - late
+    assert failures == needed
+
+
+def test_a_lost_zone_shows_by_the_first_few_of_its_upstreams():
+    # met at full size: each balancer found the dead ones one by one, a connect time-out each
+    host = FakeHost([listed(i, zone=i // 20) for i in range(40)], balancers=300)
+    host.serve(20)
+    host.pass_time(3_000)
+    for _ in range(8):
+        host.serve(1, lambda u: End.UNREACHED if u < 20 else End.DELIVERED)
+    host.pass_time(300)
+    assert sum(u >= 20 for u in host.serve(20)) > 10
+
+
+def test_a_few_visits_do_not_swing_what_path_prefixes_are_worth():
+    # met at full size: with two visits a second one late answer made its prefix the worst served
+    lanes = (prefix(Kind.READ_LIKE), prefix(Kind.READ_LIKE))
+    host = FakeHost([listed(0)], prefixes=lanes, worst_prefix=0.2)
+    host.serve(2, lane=0)
+    host.balancer._lanes[1].arrived = 1.0
+    host.pass_time(1_000)
+    first, second = (lane.value for lane in host.balancer._lanes)
+    assert second < 2 * first
+
+
+def test_hundreds_of_balancers_keep_the_cold_budget_together():
+    # met at full size: one send a window was always allowed, 400 of them pushed a cold upstream over
+    hosts = [FakeHost([listed(i) for i in range(8)], seed=seed, balancers=300) for seed in range(100)]
+    for window in range(3):
+        sends = 0
+        for host in hosts:
+            balancer, cold = host.balancer, host.balancer._upstreams[0]
+            balancer._capacity = 0.2  # of 20 visits a second that the 100 bring to a warm one
+            if not window:
+                host.balancer.told_changes(host.now, [listed(0, came_up=host.now)])
+            visit = Visit(balancer, 1, balancer._lanes[0], host.now, 2_500.0, 0, False)
+            sends += balancer._send(visit, cold, host.now)
+            host.pass_time(2_000)
+        assert 0 < sends <= 2 * (0.1 + 0.06 * window) * 20 * 2
