--- a/ospreyline/decide.py
+++ b/ospreyline/decide.py
@@ -46,7 +46,6 @@
 FURTHER = 2  # further backend fetches of a visit
 PROBE_SPEND = 0.002  # of the gain, the most that probes may cost
 PROBE_EVERY = 1_000.0  # ms between probes of an upstream, at most
-WAITED = 0.1  # of the shortest target latency: a probe that took so much longer than others has waited
 
 
 class Lane:
@@ -73,7 +72,7 @@
 class Level:
     """A zone: its healthy upstreams, and what fetches to it tell of those that are seldom met."""
 
-    __slots__ = ("depth", "healthy", "kept", "latency", "lowest", "measured_at", "out", "probe",
+    __slots__ = ("depth", "healthy", "kept", "latency", "lowest", "measured_at", "out",
                  "rate", "reach", "reached_at", "samples", "used")
 
     def __init__(self, latency: float, guess: float) -> None:
@@ -84,7 +83,6 @@
         self.out = 0  # fetches of ours
         self.depth = 1.0  # of those when the ones measured were sent, smoothed alike
         self.lowest = guess
-        self.probe = inf  # the shortest answer to a probe
         self.reach = 1.0  # share of its fetches that found a process, smoothed
         self.reached_at = -inf
         self.used = 1.0  # share of its upstreams that we send to
@@ -315,7 +313,6 @@
         self._base = self._first_guess  # mean of the lowest latencies
         self._memory = FORGET  # how long what was measured of an upstream holds
         self._looking = False
-        self._waiting = 0.0  # share of probes that waited in a queue
         self._probes_due = 0.0
         self._worst_prefix = terms.worst_prefix
         self._held = 0
@@ -369,14 +366,6 @@
         u = self._upstreams[upstream]
         if end is End.DELIVERED:
             self._take_report(u, now, report)
-            u.level.probe = min(u.level.probe, spent)
-            wait = spent - u.level.probe
-            waited = wait > WAITED * 2 * self._harmless
-            self._waiting += SMOOTH * (waited - self._waiting)
-            if waited or self._waiting > 0.2:
-                # some probes are served beside the queue; others wait in it, and tell how long it is
-                u.latency, u.measured_at = self._base + wait, now
-                u.level.smooth(now, self._base + wait, u.level.out + 1)
         elif u.failing and end is not End.FULL:
             u.trial_at = now + HOLD_DOWN / 4  # guards: no trial visit is spent on one that no probe reaches
 
