--- a/ospreyline/decide.py
+++ b/ospreyline/decide.py
@@ -824,7 +824,8 @@
                 elif not u.marked(latency, self._mean_latency, self._harmless):
                     level.healthy.append(u)
             if not level.samples:
-                level.depth = max(1.0, len(level.healthy))  # until measured, one at each is as usual
+                # until measured, one at each from all balancers of the zone is as usual
+                level.depth = max(1.0, len(level.healthy) * self._zones / self._balancers)
         healths = [min(100.0, FACTOR * 100 * counts[z] / max(1, totals[z])) for z in self._order]
         self._shares = shares(self._order, healths)
 
