--- /dev/null
+++ b/ospreyline/__main__.py
@@ -0,0 +1,66 @@
+"""The command line: `python -m ospreyline`."""
+
+from __future__ import annotations
+
+import os
+import sys
+from pathlib import Path
+
+import click
+
+from ospreyline import __version__, facts
+
+CONFIG = click.argument(
+    "config", envvar="PROXY_CONFIG", type=click.Path(dir_okay=False, path_type=Path))
+
+
+def _post(path: Path) -> facts.Post:
+    """Read the configuration, or end with one line that says what is wrong with it, and status 2."""
+    try:
+        return facts.post(path.read_bytes(), os.environ)
+    except OSError as error:
+        problem = f"{path}: {error.strerror}"
+    except facts.FactError as error:
+        problem = f"{path}: {error}"
+    click.echo(f"ospreyline: {problem}", err=True)
+    sys.exit(2)
+
+
+@click.group()
+def main() -> None:
+    """An HTTP load balancer, run as a bank of proxies that share nothing."""
+
+
+@main.command()
+@CONFIG
+def serve(config: Path) -> None:
+    """Serve as CONFIG says (default: the file that PROXY_CONFIG names) until SIGTERM."""
+    post = _post(config)
+    import uvloop
+
+    from ospreyline.net import service
+
+    service.start_log()
+    uvloop.run(service.serve(post))
+
+
+@main.command()
+@CONFIG
+def check(config: Path) -> None:
+    """Read CONFIG as `serve` would and say what it holds."""
+    post = _post(config)
+    click.echo(f"{post.name}: listens on {post.listen[0]}:{post.listen[1]}, "
+               f"zone {post.zone_names[post.terms.zone]!r}, {post.sockets} descriptors")
+    for name, terms in zip(post.prefix_names, post.terms.prefixes, strict=True):
+        click.echo(f"/{name}: {terms.kind.value}, target latency {terms.target_latency:g} ms, "
+                   f"client timeout {terms.client_timeout:g} ms, gain {terms.gain:g}")
+
+
+@main.command(name="version")
+def show_version() -> None:
+    """Print the version."""
+    click.echo(__version__)
+
+
+if __name__ == "__main__":
+    main(prog_name="ospreyline")
--- a/ospreyline/drill/frames.py
+++ b/ospreyline/drill/frames.py
@@ -11,10 +11,8 @@
 from struct import error as StructError
 from typing import Any, BinaryIO
 
-import msgspec
-
+from ospreyline import facts
 from ospreyline.decide import Balancer, Visit
-from ospreyline.drill import facts
 from ospreyline.host import End, Listed, Readiness
 
 _BATCH = Struct("<IIIQ")
@@ -267,7 +265,7 @@
             raise FrameError("the settings run past the end of their batch")
         try:
             self._instances[who] = Instance(seed, body[start : start + size], now)
-        except (msgspec.MsgspecError, ValueError) as error:
+        except facts.FactError as error:
             raise FrameError(f"instance {who}: unusable settings: {error}") from error
         return start + size
 
--- /dev/null
+++ b/ospreyline/facts.py
@@ -0,0 +1,261 @@
+"""Configuration: the one place where it is read, checked and given defaults, for both fronts.
+
+`read()` turns the settings (JSON, microseconds) into a `Deployment`, what the decisions are told. `post()`
+turns the file of a balancer on sockets into a `Post`: the settings, and where and within what it runs.
+Whatever is wrong comes out as a `FactError` that names the faulty key.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+import msgspec
+
+from ospreyline.host import Deployment, Kind, PathPrefix, Scope
+
+
+class FactError(ValueError):
+    """The configuration cannot be used; the text names the key."""
+
+
+class _File(msgspec.Struct):
+    """The file of a balancer on sockets; keys that are not named here are ignored."""
+
+    settings: msgspec.Raw
+    name: str = "ospreyline"
+    listen: str = ""
+    discovery: str = ""
+    seed: str | int = 0
+    limits: _Limits = msgspec.field(default_factory=lambda: _Limits())
+    known: msgspec.Raw = msgspec.Raw(b'{"rev":0,"all":true,"targets":[]}')
+
+
+class _Limits(msgspec.Struct):
+    sockets: int = 1024
+
+
+class _Wire(msgspec.Struct, rename="pascal"):
+    """A JSON object of the settings; keys that are not named here are ignored."""
+
+
+class _Prefix(_Wire):
+    client_timeout_us: float
+    name: str = ""
+    semantics: str = "once"
+    key_scope: str = "all"
+    window_us: float = 0.0
+    target_latency_us: float = 0.0
+    gain: float = 1.0
+    late_gain: float = 0.0
+
+
+class _Caps(_Wire):
+    cancel: bool = False
+    may_duplicate: bool = False
+    most_backend_fetches: int = 1
+    max_retry_after_us: float = 0.0
+    probing: bool = False
+    retry_after: bool = False
+    connect_timeout_us: float = 250_000.0
+    keepalive_us: float = 15_000_000.0
+
+
+class _Fees(_Wire):
+    cross_zone: float = 0.0
+    probe: float = 0.0
+
+
+class _Goal(_Wire):
+    whole: float = 1.0
+    worst_class: float = 0.0
+    worst_tenant: float = 0.0
+    worst_window: float = 0.0
+
+    def total(self) -> float:
+        return self.whole + self.worst_class + self.worst_tenant + self.worst_window
+
+
+class _Domain(_Wire):
+    warm_keys: bool = False
+
+
+class _Feedback(_Wire):
+    fields: list[str] = []
+    via: str = "silent"
+
+
+class _Invariants(_Wire):
+    cold_from: float = 0.1
+    must_ask_in_us: float = 1e7
+    overload_factor: float = 2.0
+    tip_after_us: float = 2e6
+    warm_within_us: float = 3e7
+
+
+class _Facts(_Wire):
+    path_prefixes: list[_Prefix]
+    zone: int = 0
+    balancers: int = 1
+    me: int = 0
+    dcs: list[str] = []
+    discovery: str = "push"
+    caps: _Caps = msgspec.field(default_factory=_Caps)
+    domain: _Domain = msgspec.field(default_factory=_Domain)
+    fees: _Fees = msgspec.field(default_factory=_Fees)
+    goal: _Goal = msgspec.field(default_factory=_Goal)
+    feedback: _Feedback = msgspec.field(default_factory=_Feedback)
+    invariants: _Invariants = msgspec.field(default_factory=_Invariants)
+
+
+_DECODER = msgspec.json.Decoder(_Facts, strict=False)
+_FILE_DECODER = msgspec.json.Decoder(_File, strict=False)
+_KINDS = {"repeatable": Kind.READ_LIKE, "by_key": Kind.TAGGED, "once": Kind.MUTATING}
+_SCOPES = {scope.value: scope for scope in Scope}
+# load reports name their fields in either set of words
+REPORT_WORDS = {
+    "active": "in-flight",
+    "inflight": "in-flight",
+    "waiting": "queue",
+    "cpu": "util",
+    "avg_ms": "latency",
+    "latency_ms": "latency",
+    "rps": "rate",
+    "qps": "rate",
+    "err_rps": "errors",
+    "eps": "errors",
+}
+
+
+@dataclass(slots=True, frozen=True)
+class Post:
+    """Where a balancer on sockets stands and what it may use."""
+
+    name: str
+    listen: tuple[str, int]
+    discovery: tuple[str, int]
+    seed: int
+    sockets: int  # descriptors, all together
+    known: bytes  # the list as it was last had, in discovery's form
+    terms: Deployment
+    prefix_names: tuple[str, ...]
+    zone_names: tuple[str, ...]
+    connect_time_out: float
+    keep_idle: float  # how long an upstream keeps an idle connection
+
+
+def read(text: bytes) -> Deployment:
+    """Decode the settings for the decisions; `FactError` if unusable."""
+    return _deployment(_facts(text, ""))
+
+
+def post(text: bytes, env: Mapping[str, str]) -> Post:
+    """Decode the file of a balancer on sockets; variables that are set win over the file."""
+    try:
+        file = _FILE_DECODER.decode(text)
+    except msgspec.MsgspecError as error:
+        raise FactError(_plain(error, "")) from error
+    facts = _facts(bytes(file.settings), "settings.")
+    sockets = file.limits.sockets
+    if sockets < 64:
+        raise FactError(f"limits.sockets: {sockets} is too few, 64 are needed")
+    try:
+        seed = file.seed if isinstance(file.seed, int) else int(file.seed, 16)
+    except ValueError:
+        raise FactError(f"seed: {file.seed!r} is no hexadecimal number") from None
+    names = tuple(p.name for p in facts.path_prefixes)
+    for i, name in enumerate(names):
+        if not name or "/" in name or name in names[:i]:
+            raise FactError(f"settings.PathPrefixes[{i}].Name: {name!r} cannot be the first part of a path")
+    return Post(
+        name=env.get("PROXY_NAME") or file.name,
+        listen=_address("listen", env.get("PROXY_LISTEN") or file.listen),
+        discovery=_address("discovery", env.get("PROXY_DISCOVERY") or file.discovery),
+        seed=seed,
+        sockets=sockets,
+        known=bytes(file.known),
+        terms=_deployment(facts),
+        prefix_names=names,
+        zone_names=tuple(facts.dcs) or ("",),
+        connect_time_out=facts.caps.connect_timeout_us / 1e3,
+        keep_idle=facts.caps.keepalive_us / 1e3,
+    )
+
+
+def address(text: str) -> tuple[str, int] | None:
+    """Host and port of `host:port`; None where it is none."""
+    host, _, port = text.rpartition(":")
+    if not host or not (port.isascii() and port.isdigit()) or not 0 < int(port) < 65_536:
+        return None
+    return host.strip("[]"), int(port)
+
+
+def _address(key: str, text: str) -> tuple[str, int]:
+    found = address(text)
+    if found is None:
+        raise FactError(f"{key}: {text!r} is no address of the form host:port")
+    return found
+
+
+def _plain(error: Exception, root: str) -> str:
+    """What msgspec says, with the path of the key first."""
+    what, at, path = str(error).partition(" - at `$")
+    path = path.rstrip("`").removeprefix(".")
+    return f"{root}{path}: {what}" if at else f"{root.rstrip('.') or 'the file'}: {what}"
+
+
+def _facts(text: bytes, root: str) -> _Facts:
+    try:
+        facts = _DECODER.decode(text)
+    except msgspec.MsgspecError as error:
+        raise FactError(_plain(error, root)) from error
+    for i, p in enumerate(facts.path_prefixes):
+        at = f"{root}PathPrefixes[{i}]."
+        if p.semantics not in _KINDS:
+            raise FactError(f"{at}Semantics: unknown {p.semantics!r}")
+        if p.key_scope not in _SCOPES:
+            raise FactError(f"{at}KeyScope: unknown {p.key_scope!r}")
+        if not p.client_timeout_us > 0:
+            raise FactError(f"{at}ClientTimeoutUs: {p.client_timeout_us} is no time")
+    if facts.zone < 0 or facts.zone >= max(1, len(facts.dcs)):
+        raise FactError(f"{root}Zone: {facts.zone} is not the place of a zone in Dcs")
+    return facts
+
+
+def _deployment(facts: _Facts) -> Deployment:
+    prefixes = tuple(
+        PathPrefix(
+            kind=_KINDS[p.semantics],
+            scope=_SCOPES[p.key_scope],
+            window=p.window_us / 1e3,
+            target_latency=(p.target_latency_us or p.client_timeout_us) / 1e3,
+            client_timeout=p.client_timeout_us / 1e3,
+            gain=p.gain,
+            late_gain=p.late_gain,
+        )
+        for p in facts.path_prefixes
+    )
+    caps, rules = facts.caps, facts.invariants
+    return Deployment(
+        zone=facts.zone,
+        zones=max(1, len(facts.dcs)),
+        balancers=max(1, facts.balancers),
+        number=facts.me,
+        prefixes=prefixes,
+        max_fetches=caps.most_backend_fetches,
+        may_copy=caps.may_duplicate,
+        may_cancel=caps.cancel,
+        may_probe=caps.probing,
+        max_retry_after=caps.max_retry_after_us / 1e3 if caps.retry_after else 0.0,
+        ask_for_list=facts.discovery == "ask",
+        must_ask_in=rules.must_ask_in_us / 1e3,
+        cold_from=rules.cold_from,
+        warm_within=rules.warm_within_us / 1e3,
+        overload_factor=rules.overload_factor,
+        tip_after=rules.tip_after_us / 1e3,
+        cross_fee=facts.fees.cross_zone,
+        probe_fee=facts.fees.probe,
+        worst_prefix=facts.goal.worst_class / max(1e-9, facts.goal.total()),
+        warm_keys=facts.domain.warm_keys,
+        report_fields=tuple(REPORT_WORDS.get(f, f) for f in facts.feedback.fields),
+    )
--- /dev/null
+++ b/ospreyline/net/__init__.py
@@ -0,0 +1,1 @@
+"""The front on sockets: the same decisions for real clients and upstreams. It decides nothing."""
--- /dev/null
+++ b/ospreyline/net/clients.py
@@ -0,0 +1,384 @@
+"""Clients as peers: connections accepted, requests read, final answers written.
+
+A request that is whole becomes a `Request`; its fields are taken out where decisions need them, the rest
+stays the bytes that came. Every request read gets exactly one answer on its connection, in order.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections import deque
+from dataclasses import dataclass
+from hashlib import blake2b
+from http import HTTPStatus
+from math import isfinite
+from typing import Protocol, cast
+
+import httptools
+
+from ospreyline.net.upstreams import HOP_BY_HOP, MOST_BODY, MOST_HEAD
+
+IDLE = 75.0  # s that a connection may stand between requests
+SLOW = 10.0  # s that a request may take to come, or an answer to go
+LINGER = 1.0  # s that a connection is read on after its last answer
+MOST_WAITING = 4  # requests read behind the one that is out, on one connection
+# what goes on to upstreams only as the balancer words it
+OWN_FIELDS = HOP_BY_HOP | {b"expect", b"x-expires-in"}
+ONCE_FIELDS = frozenset((b"x-trace-id", b"idempotency-key", b"x-expires-in", b"content-length", b"host"))
+
+
+@dataclass(slots=True)
+class Request:
+    """One whole request."""
+
+    method: bytes
+    path: bytes  # with its query
+    fields: bytes  # those that go on
+    body: bytes
+    prefix: int
+    time_left: float | None
+    key: int
+    repeat: bool
+    tagged: bool
+
+    def head(self) -> bytes:
+        """The head that goes on to an upstream, without the blank line at its end."""
+        length = b"Content-Length: %d\r\n" % len(self.body) if self.body or self.method != b"GET" else b""
+        return b"%b %b HTTP/1.1\r\n%b%b" % (self.method, self.path, self.fields, length)
+
+
+class Door(Protocol):
+    """Where whole requests go."""
+
+    prefixes: dict[bytes, int]
+    closing: bool
+
+    def take(self, request: Request, client: Client) -> None: ...
+    def left(self, client: Client) -> None: ...
+    def ready(self) -> bool: ...
+
+
+class BadRequest(Exception):
+    """A request that cannot be taken; it stops at its connection."""
+
+    def __init__(self, status: int) -> None:
+        super().__init__(status)
+        self.status = status
+
+
+def response(status: int, fields: bytes, body: bytes, close: bool, head_only: bool = False) -> bytes:
+    framing = b"" if status in (204, 304) else b"Content-Length: %d\r\n" % len(body)
+    return b"HTTP/1.1 %d %b\r\n%b%b%b\r\n%b" % (
+        status, HTTPStatus(status).phrase.encode(), fields, framing,
+        b"Connection: close\r\n" if close else b"", b"" if head_only else body)
+
+
+class Client(asyncio.Protocol):
+    """One connection of a client."""
+
+    def __init__(self, clients: Clients) -> None:
+        self.clients = clients
+        self.transport: asyncio.Transport | None = None
+        self.since = clients.loop.time()  # it has been idle, or reading, or writing, since then
+        self.out: Request | None = None  # the one that its client waits for
+        self.tag = -1  # what the door calls it
+        self._parser = httptools.HttpRequestParser(self)
+        self._waiting: deque[Request | BadRequest] = deque()
+        self._keep = True
+        self._reading = False
+        self._over = False
+        self._paused = False
+        self._clear()
+
+    def _clear(self) -> None:
+        self._path = b""
+        self._fields: list[tuple[bytes, bytes]] = []
+        self._body: list[bytes] = []
+        self._size = 0
+        self._head_done = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        self.clients.open[self] = None
+
+    def idle(self) -> bool:
+        return self.out is None and not self._reading and not self._waiting and not self._over
+
+    def data_received(self, data: bytes) -> None:
+        if self._over:
+            return
+        if not self._head_done:
+            self._size += len(data)
+        try:
+            self._parser.feed_data(data)
+            if not self._head_done and self._size > MOST_HEAD:
+                raise BadRequest(431)
+        except httptools.HttpParserUpgrade:
+            self._keep = False  # no other protocol is spoken here
+            if self._reading:
+                self._bad(BadRequest(400))
+        except httptools.HttpParserError as error:
+            cause = error.__context__
+            self._bad(cause if isinstance(cause, BadRequest) else BadRequest(400))
+        except BadRequest as error:
+            self._bad(error)
+        self._next()
+
+    def _bad(self, error: BadRequest) -> None:
+        """Nothing behind this can be read: its answer is the connection's last."""
+        self._reading = False
+        self._waiting.append(error)
+        self._over = True
+
+    # the parser's calls
+
+    def on_message_begin(self) -> None:
+        self._clear()
+        self._reading = True
+        self.since = self.clients.loop.time()
+
+    def on_url(self, url: bytes) -> None:
+        self._path += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if not self._head_done:
+            self._fields.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        self._head_done, self._size = True, 0
+        named: dict[bytes, bytes] = {}
+        for name, value in self._fields:
+            known = name.lower()
+            if known in named and known in ONCE_FIELDS:
+                raise BadRequest(400)
+            named[known] = value
+        if b"content-length" in named and b"transfer-encoding" in named:
+            raise BadRequest(400)
+        if int(named.get(b"content-length", b"0")) > MOST_BODY:
+            raise BadRequest(413)
+        if named.get(b"expect", b"").lower() == b"100-continue" and self.transport is not None \
+                and self.out is None:
+            self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def on_body(self, body: bytes) -> None:
+        self._size += len(body)
+        if self._size > MOST_BODY:
+            raise BadRequest(413)
+        self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        self._reading = False
+        keep = self._parser.should_keep_alive()
+        try:
+            self._waiting.append(self._request())
+        except BadRequest as error:
+            self._waiting.append(error)
+        if not keep:
+            self._keep = False
+        if len(self._waiting) > MOST_WAITING and self.transport is not None:
+            self._paused = True
+            self.transport.pause_reading()  # bounds what a client can make us keep
+
+    def _request(self) -> Request:
+        own = {}
+        dropped = set(OWN_FIELDS)
+        for name, value in self._fields:
+            known = name.lower()
+            own[known] = value
+            if known == b"connection":
+                # guards: a client must not have the fields taken out that its effect depends on
+                named = {part.strip() for part in value.lower().split(b",")}
+                dropped |= named - {b"x-trace-id", b"idempotency-key", b"host"}
+        first = self._path.split(b"?", 1)[0].lstrip(b"/").split(b"/", 1)[0]
+        method = self._parser.get_method()
+        if method == b"GET" and self._path in (b"/health/ready", b"/health/live"):
+            return Request(method, self._path, b"", b"", -1, None, 0, False, False)
+        prefix = self.clients.door.prefixes.get(first)
+        if prefix is None:
+            raise BadRequest(404)
+        left: float | None = None
+        if (text := own.get(b"x-expires-in")) is not None:
+            try:
+                left = 1e3 * float(text)
+            except ValueError:
+                raise BadRequest(400) from None
+            if not isfinite(left):
+                raise BadRequest(400)
+        key = own.get(b"x-object", b"")
+        return Request(
+            method=method,
+            path=self._path,
+            fields=b"".join(b"%b: %b\r\n" % f for f in self._fields if f[0].lower() not in dropped),
+            body=b"".join(self._body),
+            prefix=prefix,
+            time_left=left,
+            key=int.from_bytes(blake2b(key, digest_size=8).digest(), "big") if key else 0,
+            repeat=own.get(b"x-second-try", b"").strip() == b"1",
+            tagged=b"idempotency-key" in own,
+        )
+
+    # visits and their answers
+
+    def _next(self) -> None:
+        """Take the next request, if none is out."""
+        while self.out is None and self._waiting:
+            found = self._waiting.popleft()
+            if isinstance(found, BadRequest):
+                self.answer(response(found.status, b"", b"", self._last()))
+            elif found.prefix < 0:
+                ok = found.path != b"/health/ready" or self.clients.door.ready()
+                status, body = (200, b"ok\n") if ok else (503, b"not ready\n")
+                self.answer(response(status, b"", body, self._last()))
+            else:
+                self.out = found
+                self.clients.door.take(found, self)
+
+    def _last(self) -> bool:
+        """Whether the answer to come is the last on this connection."""
+        return not self._waiting and (self._over or not self._keep or self.clients.door.closing)
+
+    def reply(self, status: int, fields: bytes, body: bytes) -> None:
+        """The final answer to the visit that is out."""
+        request, self.out, self.tag = self.out, None, -1
+        head_only = request is not None and request.method == b"HEAD"
+        self.answer(response(status, fields, body, self._last(), head_only))
+        self._next()
+
+    def answer(self, data: bytes) -> None:
+        transport = self.transport
+        if transport is None or transport.is_closing():
+            return
+        last = self._last()
+        self.since = self.clients.loop.time()
+        transport.write(data)
+        if last:
+            self.finish()
+        elif len(self._waiting) <= MOST_WAITING:
+            self._resume()
+
+    def _resume(self) -> None:
+        if self._paused and self.transport is not None:
+            self._paused = False
+            self.transport.resume_reading()
+
+    def finish(self) -> None:
+        """No further answer: half-close and read on for a moment.
+
+        Guards: closed with bytes unread, the connection is reset, and the reset can destroy the answer.
+        """
+        self._over = True
+        transport = self.transport
+        if transport is not None and not transport.is_closing():
+            self._resume()
+            transport.write_eof()
+            self.clients.loop.call_later(LINGER, transport.close)
+
+    def eof_received(self) -> bool:
+        return False  # closes the connection; connection_lost tells
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.clients.open.pop(self, None)
+        self._over = True
+        self._waiting.clear()
+        if self.out is not None:
+            self.clients.door.left(self)
+            self.out = None
+
+    def overdue(self, now: float) -> bool:
+        """Whether it has been too long without a byte that was due."""
+        if self.out is not None:
+            return False
+        return now - self.since > (SLOW if self._reading or self._over else IDLE)
+
+    def drop(self) -> None:
+        if self.transport is not None:
+            self.transport.abort()
+
+
+class Clients:
+    """The listening socket and the connections accepted."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, door: Door, most_open: int) -> None:
+        self.loop = loop
+        self.door = door
+        self.most_open = most_open
+        self.open: dict[Client, None] = {}
+        self._coming: set[asyncio.Task[None]] = set()
+        self._socket: socket.socket | None = None
+        self._paused = False
+
+    def listen(self, at: tuple[str, int]) -> tuple[str, int]:
+        family = socket.AF_INET6 if ":" in at[0] else socket.AF_INET
+        sock = self._socket = socket.socket(family, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind(at)
+        sock.listen(1024)
+        self.loop.add_reader(sock, self.accept)
+        name: tuple[str, int] = sock.getsockname()[:2]
+        return name
+
+    def accept(self) -> None:
+        """Accept all that waits, as far as descriptors allow; the longest idle connection makes room."""
+        sock = self._socket
+        while sock is not None:
+            if len(self.open) + len(self._coming) >= self.most_open and not self._make_room():
+                # guards: a failing accept would spin the loop; those that wait stay in the backlog
+                self.loop.remove_reader(sock)
+                self._paused = True
+                return
+            try:
+                conn, _ = sock.accept()
+            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+                return
+            except OSError:
+                self.loop.remove_reader(sock)
+                self._paused = True
+                return
+            conn.setblocking(False)
+            task = self.loop.create_task(self._admit(conn))
+            self._coming.add(task)
+            task.add_done_callback(self._coming.discard)
+
+    async def _admit(self, conn: socket.socket) -> None:
+        try:
+            await self.loop.connect_accepted_socket(lambda: Client(self), conn)
+        except OSError:
+            conn.close()
+
+    def _make_room(self) -> bool:
+        idle = [client for client in self.open if client.idle()]
+        if not idle:
+            return False
+        client = min(idle, key=lambda c: c.since)
+        self.open.pop(client, None)
+        client.finish()
+        return True
+
+    def tidy(self) -> None:
+        """Cut off clients that are silent for too long; accept again if that was put off."""
+        now = self.loop.time()
+        for client in [c for c in self.open if c.overdue(now)]:
+            client.drop()
+        if self._paused and self._socket is not None:
+            self._paused = False
+            self.loop.add_reader(self._socket, self.accept)
+            self.accept()
+
+    def busy(self) -> bool:
+        """Whether anything that was taken waits for its answer, or is on its way in or out."""
+        return bool(self._coming) or any(
+            c.out is not None or c._reading or c._waiting
+            or (c.transport is not None and c.transport.get_write_buffer_size()) for c in self.open)
+
+    def stop_listening(self) -> None:
+        """Accept what waits, then listen no more."""
+        self.accept()
+        if self._socket is not None:
+            self.loop.remove_reader(self._socket)
+            self._socket.close()
+            self._socket = None
+
+    def finish_idle(self) -> None:
+        for client in [c for c in self.open if c.idle()]:
+            client.finish()
--- /dev/null
+++ b/ospreyline/net/service.py
@@ -0,0 +1,112 @@
+"""Start and stop of a balancer on sockets, and the work that comes round every second."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import signal
+import statistics
+import sys
+
+import structlog
+
+from ospreyline.facts import Post
+from ospreyline.net.clients import Clients
+from ospreyline.net.turn import Turn, clock
+
+TIDY = 0.5  # s between two rounds over idle connections and silent calls
+COUNTS = 10  # rounds between two lines of counts
+KEEP_ACCEPTING = 0.5  # s after the signal to stop: new connections still come
+LAST_ANSWERS = 0.6  # s on top of the longest client timeout, then what is left is answered anyhow
+
+
+class Service:
+    """One balancer from its start to its end."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, post: Post) -> None:
+        self._loop = loop
+        self._post = post
+        self._log = structlog.get_logger()
+        self.turn = Turn(loop, post)
+        self.clients = Clients(loop, self.turn, self.turn.most_clients)
+        self._stopping = asyncio.Event()
+        self._rounds = 0
+        self._tidying: asyncio.TimerHandle | None = None
+        self._ended = False
+
+    async def run(self) -> None:
+        """Serve until told to stop, then finish what was taken."""
+        at = self.clients.listen(self._post.listen)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            self._loop.add_signal_handler(number, self._stopping.set)
+        self._tidy()
+        gc.collect()
+        gc.freeze()  # what lives as long as we do is not looked at again
+        self._log.info("serving", name=self._post.name, listen=f"{at[0]}:{at[1]}", sockets=self._post.sockets)
+        await self._stopping.wait()
+        await self._stop()
+
+    async def _stop(self) -> None:
+        began = self._loop.time()
+        self._log.info("stopping", visits=len(self.turn.visits))
+        self.turn.closing = True
+        longest = max((p.client_timeout for p in self._post.terms.prefixes), default=0.0) / 1e3
+        await asyncio.sleep(KEEP_ACCEPTING)
+        self.clients.stop_listening()
+        while self._loop.time() < began + longest + LAST_ANSWERS:
+            self.clients.finish_idle()
+            if not self.clients.busy() and not self.clients.open:
+                break
+            await asyncio.sleep(0.02)
+        for taken in list(self.turn.visits.values()):
+            self.turn.note(self.turn._overdue, taken)
+        await asyncio.sleep(0.02)
+        if self._tidying is not None:
+            self._tidying.cancel()
+        self.turn.discovery.close()
+        self.turn.upstreams.close()
+        self._counts()
+        self._log.info("stopped")
+
+    def _tidy(self) -> None:
+        self._tidying = self._loop.call_later(TIDY, self._tidy)
+        self.clients.tidy()
+        self.turn.upstreams.tidy(clock())
+        self.turn.discovery.tidy()
+        self._rounds += 1
+        if self._rounds % COUNTS == 0:
+            self._counts()
+
+    def _counts(self) -> None:
+        """A line of what was counted since the last one."""
+        turn = self.turn
+        times = sorted(turn.latencies)
+        figures: dict[str, float] = {}
+        if len(times) > 1:
+            cuts = statistics.quantiles(times, n=100)
+            figures = {f"p{n}_ms": round(cuts[n - 1], 1) for n in (50, 90, 99)}
+        self._log.info(
+            "counts", open_visits=len(turn.visits), clients=len(self.clients.open),
+            connections=len(turn.upstreams.open), lag_ms=round(turn.lag, 1), **figures,
+            **dict(sorted(turn.counts.items())))
+        turn.counts.clear()
+        turn.latencies.clear()
+        turn.lag = 0.0
+
+
+def start_log() -> None:
+    """JSON lines on standard output."""
+    structlog.configure(
+        processors=[
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso"),
+            structlog.processors.format_exc_info,
+            structlog.processors.JSONRenderer(),
+        ],
+        logger_factory=structlog.WriteLoggerFactory(file=sys.stdout),
+        cache_logger_on_first_use=True,
+    )
+
+
+async def serve(post: Post) -> None:
+    await Service(asyncio.get_running_loop(), post).run()
--- /dev/null
+++ b/ospreyline/net/turn.py
@@ -0,0 +1,349 @@
+"""The host of the decisions on sockets: what is ready is gathered and handed over in one go, a turn.
+
+Callbacks of connections, timers and the list only `note` what came. One turn a pass of the loop reads the
+clock once, tells the decisions all of it in the order it came, then carries out what they asked for.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections import Counter
+from collections.abc import Callable
+from hashlib import blake2b
+from heapq import heappop, heappush
+from typing import Any
+
+import structlog
+
+from ospreyline.decide import Balancer, Visit
+from ospreyline.facts import Post
+from ospreyline.host import End, Listed, Readiness
+from ospreyline.net import discovery
+from ospreyline.net.clients import Client, Request
+from ospreyline.net.discovery import Discovery, News, Target
+from ospreyline.net.upstreams import Answer, Cut, Errand, Upstreams, Why, end_of, load_report
+
+BACKSTOP = 15.0  # ms past its client timeout at which a visit that has no answer yet is answered anyhow
+PROBE_TIME_OUTS = 2.0  # a probe may take this many times as long as connecting may
+_READINESS = {"active": Readiness.READY, "leaving": Readiness.DRAINING, "left": Readiness.GONE}
+
+
+def clock() -> float:
+    """Milliseconds on a clock that only goes forward."""
+    return time.monotonic() * 1e3
+
+
+class Taken:
+    """A visit as the front knows it: who waits for it, its handle, and the errands out for it."""
+
+    __slots__ = ("answered", "came", "client", "errands", "handle", "late", "request", "tag", "timed_out")
+
+    def __init__(self, tag: int, request: Request, client: Client) -> None:
+        self.tag = tag
+        self.request = request
+        self.client: Client | None = client
+        self.handle: Visit | None = None
+        self.errands: list[Errand | None] = []
+        self.came = 0.0
+        self.answered = False
+        self.timed_out = False  # its latest errand
+        self.late: asyncio.TimerHandle | None = None
+
+
+class Turn:
+    """The `Host` of one balancer, and the `Door` of its clients."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, post: Post) -> None:
+        self.log_to: Any = structlog.get_logger()
+        self.closing = False
+        self.prefixes = {name.encode(): i for i, name in enumerate(post.prefix_names)}
+        self.visits: dict[int, Taken] = {}
+        self.counts: Counter[str] = Counter()
+        self.latencies: list[float] = []  # ms, of the visits delivered since the last line of counts
+        self.lag = 0.0  # ms, the most that a timer came late since then
+        self._loop = loop
+        self._post = post
+        self._tags = 0
+        self._noted: list[tuple[Callable[..., None], tuple[Any, ...]]] = []
+        self._to_do: list[tuple[Callable[..., None], tuple[Any, ...]]] = []
+        self._wakes: list[tuple[float, int, Callable[[float], None]]] = []
+        self._wake_number = 0
+        self._alarm: asyncio.TimerHandle | None = None
+        self._alarm_at = 0.0
+        self._scheduled = False
+        self._unix_offset = time.time() * 1e3 - clock()  # once: start times must not wander with the clock
+        self._indices: dict[str, int] = {}
+        self._zones = {name: i for i, name in enumerate(post.zone_names)}
+        self._states: dict[str, Readiness] = {}
+        # descriptors: some for the loop, the listener and discovery; half of the rest for each side
+        part = (post.sockets - 32) // 2
+        self.most_clients = part
+        self.upstreams = Upstreams(loop, clock, part, post.connect_time_out, post.keep_idle)
+        self._reports = post.terms.report_fields
+        known = discovery.read(post.known, self.log_to)
+        self.discovery = Discovery(loop, post.discovery, known.rev if known else 0, self.log_to,
+                                   tell=lambda news: self.note(self._told, news),
+                                   tell_failed=lambda: self.note(self._told_nothing))
+        now = clock()
+        self.balancer = Balancer(self, post.terms, post.seed, now)
+        self.balancer.told_all(now, self._lines(known) if known else [])
+        self.note(lambda now: None)  # the first turn carries out what the start asked for
+
+    # -- the turn -----------------------------------------------------------------------------------------
+
+    def note(self, call: Callable[..., None], *args: Any) -> None:
+        """Something came: it is told in the next turn."""
+        self._noted.append((call, args))
+        if not self._scheduled:
+            self._scheduled = True
+            self._loop.call_soon(self._turn)
+
+    def _turn(self) -> None:
+        self._scheduled = False
+        now = clock()
+        noted, self._noted = self._noted, []
+        for call, args in noted:
+            self._tell(now, call, args)
+        while self._wakes and self._wakes[0][0] <= now:
+            due, _, wake = heappop(self._wakes)
+            self.lag = max(self.lag, now - due)
+            self._tell(now, wake, ())
+        to_do, self._to_do = self._to_do, []
+        for act, args in to_do:
+            self._tell(now, act, args)
+        self._set_alarm(now)
+
+    def _tell(self, now: float, call: Callable[..., None], args: tuple[Any, ...]) -> None:
+        try:
+            call(now, *args)
+        except Exception:
+            # guards: a fault in the decisions costs the visit that it met, which still gets its answer
+            self.counts["faults"] += 1
+            self.log_to.exception("fault in a turn")
+            taken = next((arg for arg in args if isinstance(arg, Taken)), None)
+            if taken is not None and not taken.answered:
+                self.fail(taken.tag)
+                self._drop(taken)
+
+    def _set_alarm(self, now: float) -> None:
+        if not self._wakes:
+            return
+        due = self._wakes[0][0]
+        if self._alarm is None or due < self._alarm_at:
+            if self._alarm is not None:
+                self._alarm.cancel()
+            self._alarm_at = due
+            # the loop's timers go by whole milliseconds
+            self._alarm = self._loop.call_later(max(0.0, due - now + 0.5) / 1e3, self._ring)
+
+    def _ring(self) -> None:
+        self._alarm = None
+        if not self._scheduled:
+            self._turn()
+
+    # -- visits -------------------------------------------------------------------------------------------
+
+    def take(self, request: Request, client: Client) -> None:
+        """A whole request has come."""
+        self._tags += 1
+        taken = self.visits[self._tags] = Taken(self._tags, request, client)
+        client.tag = self._tags
+        self.note(self._take, taken)
+
+    def left(self, client: Client) -> None:
+        """The client of a visit has gone."""
+        taken = self.visits.get(client.tag)
+        if taken is not None:
+            taken.client = None
+            self.note(self._left, taken)
+
+    def ready(self) -> bool:
+        """Whether a visit could be decided."""
+        return not self.closing and Readiness.READY in self._states.values()
+
+    def _take(self, now: float, taken: Taken) -> None:
+        if taken.client is None:
+            self.visits.pop(taken.tag, None)
+            return
+        self.counts["visits"] += 1
+        taken.came = now
+        request = taken.request
+        terms = self._post.terms.prefixes[request.prefix]
+        left = terms.client_timeout
+        if request.time_left is not None:
+            left = min(left, request.time_left)
+        taken.late = self._loop.call_later(max(0.0, left + BACKSTOP) / 1e3, self.note, self._overdue, taken)
+        taken.handle = self.balancer.take(now, taken.tag, request.prefix, left, request.key, request.repeat)
+        self._settle(taken)
+
+    def _left(self, now: float, taken: Taken) -> None:
+        if taken.handle is not None:
+            self.counts["clients_left"] += not taken.answered
+            taken.answered = True
+            taken.handle.left(now)
+            self._settle(taken)
+
+    def _overdue(self, now: float, taken: Taken) -> None:
+        """Guards: whatever went wrong, a visit that was taken is answered."""
+        if taken.answered:
+            return
+        self.counts["overdue"] += 1
+        self.log_to.error("visit answered by the backstop", fetches=len(taken.errands))
+        self.fail(taken.tag)
+        if taken.handle is not None:
+            taken.handle.left(now)
+        self._settle(taken)
+
+    def _ended(self, now: float, taken: Taken, number: int, outcome: Answer | Cut) -> None:
+        end = end_of(outcome)
+        self.counts[end.name.lower()] += 1
+        errand = taken.errands[number]
+        spent = now - errand.sent if errand is not None else 0.0
+        taken.timed_out = end is End.TIMED_OUT
+        report: tuple[float, ...] = ()
+        if isinstance(outcome, Answer):
+            report = load_report(outcome.report, self._reports) if outcome.report else ()
+            if end is End.DELIVERED and not taken.answered:
+                taken.answered = True
+                self.latencies.append(now - taken.came)
+                self._to_do.append((self._reply, (taken, 200, outcome.head, outcome.body)))
+        if taken.handle is not None:
+            taken.handle.ended(now, number, end, spent, taken.answered, report)
+            self._settle(taken)
+
+    def _settle(self, taken: Taken) -> None:
+        if taken.handle is not None and taken.handle.settled:
+            self._drop(taken)
+
+    def _drop(self, taken: Taken) -> None:
+        self.visits.pop(taken.tag, None)
+        if taken.late is not None:
+            taken.late.cancel()
+
+    def _reply(self, now: float, taken: Taken, status: int, fields: bytes, body: bytes) -> None:
+        if taken.client is not None:
+            client, taken.client = taken.client, None
+            client.reply(status, fields, body)
+            self.counts[f"answers_{status}"] += 1
+
+    # -- upstreams ----------------------------------------------------------------------------------------
+
+    def _start(self, now: float, taken: Taken, number: int, upstream: int, time_out: float) -> None:
+        request = taken.request
+        errand = taken.errands[number] = Errand(
+            request.head(), request.body, now, time_out, request.method == b"HEAD",
+            lambda outcome: self.note(self._ended, taken, number, outcome))
+        self.upstreams.peers[upstream].run(errand, now)
+
+    def _call_off(self, now: float, taken: Taken, number: int) -> None:
+        errand = taken.errands[number]
+        if errand is not None:
+            errand.cut(Why.CALLED_OFF)
+
+    def _probe(self, now: float, upstream: int) -> None:
+        peer = self.upstreams.peers[upstream]
+        path = b"/stats" if self._reports else b"/health/live"
+        head = b"GET %b HTTP/1.1\r\nHost: %b:%d\r\n" % (path, peer.at[0].encode(), peer.at[1])
+        errand = Errand(head, b"", now, PROBE_TIME_OUTS * self._post.connect_time_out, False,
+                        lambda outcome: self.note(self._probed, upstream, now, outcome))
+        peer.run(errand, now)
+
+    def _probed(self, now: float, upstream: int, sent: float, outcome: Answer | Cut) -> None:
+        report: tuple[float, ...] = ()
+        if isinstance(outcome, Answer):
+            report = load_report(outcome.report or outcome.body, self._reports)
+        end = end_of(outcome)
+        self.counts["probes"] += 1
+        self.balancer.probed(now, upstream, end, now - sent, report)
+
+    # -- the list -----------------------------------------------------------------------------------------
+
+    def _told(self, now: float, news: News) -> None:
+        lines = self._lines(news)
+        if news.whole:
+            self.balancer.told_all(now, lines)
+        else:
+            self.balancer.told_changes(now, lines)
+
+    def _told_nothing(self, now: float) -> None:
+        self.balancer.told_nothing(now)
+
+    def _lines(self, news: News) -> list[Listed]:
+        """News as the decisions take it; what the list says of connections is acted upon here."""
+        lines = []
+        for target, at in news.targets:
+            upstream = self._indices.get(target.uid)
+            if upstream is None:
+                if at is None:
+                    continue
+                upstream = self._indices[target.uid] = self.upstreams.add(at)
+            lines.append(self._line(target, upstream))
+            self._note_state(target.uid, lines[-1].readiness, target)
+            self.upstreams.listed(upstream, at or self.upstreams.peers[upstream].at, target.boot_ms,
+                                  lines[-1].readiness is Readiness.READY)
+        if news.whole:
+            named = {target.uid for target, _ in news.targets}
+            for uid, upstream in self._indices.items():
+                if uid not in named and self._states.get(uid) is not Readiness.GONE:
+                    self._note_state(uid, Readiness.GONE, None)
+                    self.upstreams.peers[upstream].withdraw()
+        return lines
+
+    def _line(self, target: Target, upstream: int) -> Listed:
+        zone = self._zones.get(target.az)
+        if zone is None:
+            zone = (self._post.terms.zone - 1) % self._post.terms.zones  # the last that traffic spills to
+            self.log_to.warning("unknown zone in the list", uid=target.uid, zone=target.az)
+        return Listed(
+            upstream=upstream,
+            mark=int.from_bytes(blake2b(target.uid.encode(), digest_size=8).digest(), "big"),
+            zone=zone,
+            cell=target.pod_group,
+            readiness=_READINESS.get(target.state, Readiness.DRAINING),  # unknown: nothing new
+            came_up=target.boot_ms - self._unix_offset if target.boot_ms > 0 else 0.0,
+        )
+
+    def _note_state(self, uid: str, state: Readiness, target: Target | None) -> None:
+        if self._states.get(uid) is not state:
+            self._states[uid] = state
+            self.log_to.info("upstream", uid=uid, state=state.name.lower(),
+                             boot_ms=target.boot_ms if target else None)
+
+    # -- what the decisions ask for -----------------------------------------------------------------------
+
+    def send(self, tag: int, upstream: int, time_out: float) -> None:
+        taken = self.visits[tag]
+        taken.errands.append(None)
+        self._to_do.append((self._start, (taken, len(taken.errands) - 1, upstream, time_out)))
+
+    def cancel(self, tag: int, fetch: int) -> None:
+        if (taken := self.visits.get(tag)) is not None:
+            self._to_do.append((self._call_off, (taken, fetch)))
+
+    def bounce(self, tag: int, retry_after: float) -> None:
+        taken = self.visits[tag]
+        taken.answered = True
+        fields = b"Retry-After: %.3f\r\n" % (retry_after / 1e3) if retry_after else b""
+        self._to_do.append((self._reply, (taken, 503, fields, b"")))
+
+    def fail(self, tag: int) -> None:
+        taken = self.visits[tag]
+        taken.answered = True
+        self._to_do.append((self._reply, (taken, 504 if taken.timed_out else 502, b"", b"")))
+
+    def wake(self, at: float, call: Callable[[float], None]) -> None:
+        self._wake_number += 1
+        heappush(self._wakes, (at, self._wake_number, call))
+
+    def probe(self, upstream: int) -> None:
+        self._to_do.append((self._probe, (upstream,)))
+
+    def watch(self, on: bool) -> None:
+        self._to_do.append((lambda now: self.discovery.watch(on), ()))
+
+    def refresh(self) -> None:
+        self._to_do.append((lambda now: self.discovery.refresh(), ()))
+
+    def log(self, text: str) -> None:
+        self.log_to.info(text)
--- /dev/null
+++ b/ospreyline/net/upstreams.py
@@ -0,0 +1,389 @@
+"""Upstreams as peers: connections kept, backend fetches and probes carried out, how they end.
+
+An `Errand` is one request to an upstream. It ends exactly once, with a whole `Answer` or with a `Cut`,
+a value that says how far it had come; `end_of` is the one place where either becomes an `End`.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum, IntEnum
+from typing import cast
+
+import httptools
+
+from ospreyline.facts import REPORT_WORDS
+from ospreyline.host import End
+
+MOST_BODY = 65_536
+MOST_HEAD = 32_768
+KEEP_SHARE = 0.8  # of the time that an upstream keeps an idle connection: ours are closed earlier
+HOP_BY_HOP = frozenset((
+    b"connection", b"keep-alive", b"proxy-connection", b"proxy-authenticate", b"proxy-authorization", b"te",
+    b"trailer", b"transfer-encoding", b"upgrade", b"content-length"))
+
+
+class Stage(IntEnum):
+    """How far an errand had come."""
+
+    CONNECTING = 0
+    WRITING = 1  # the last byte has not left our buffer
+    WRITTEN = 2
+    ANSWERING = 3
+
+
+class Why(Enum):
+    """What cut an errand off."""
+
+    BROKEN = "broken"  # refused, reset or closed by the other side
+    NO_CONNECTION = "no connection in time"
+    TIMED_OUT = "timed out"
+    CALLED_OFF = "called off"
+    WITHDRAWN = "withdrawn"  # the list took the upstream away, or we have no descriptor left
+    MALFORMED = "malformed"
+
+
+@dataclass(slots=True, frozen=True)
+class Cut:
+    """An errand that came to no whole answer."""
+
+    stage: Stage
+    why: Why
+
+
+@dataclass(slots=True, frozen=True)
+class Answer:
+    """A whole answer, its header fields as the bytes that came."""
+
+    status: int
+    head: bytes
+    body: bytes
+    report: bytes
+    never_ran: bool
+
+
+def end_of(outcome: Answer | Cut) -> End:
+    """What the end of an errand means to the decisions."""
+    if isinstance(outcome, Answer):
+        if outcome.status == 200:
+            return End.DELIVERED
+        return End.FULL if outcome.status in (503, 504) and outcome.never_ran else End.ERRORED
+    if outcome.why is Why.CALLED_OFF:
+        return End.CANCELLED
+    if outcome.stage <= Stage.WRITING:  # the upstream cannot have had it whole
+        return End.UNSENT if outcome.why is Why.WITHDRAWN else End.UNREACHED
+    return End.TIMED_OUT if outcome.why is Why.TIMED_OUT else End.RESET
+
+
+def load_report(text: bytes, fields: tuple[str, ...]) -> tuple[float, ...]:
+    """The figures of a load report in the order of the settings; () where one is missing or odd."""
+    words = text.decode("latin-1").strip()
+    words = words.removeprefix("TEXT").removeprefix("JSON").strip("{} \t")
+    found: dict[str, float] = {}
+    for part in words.replace(":", "=").split(","):
+        name, _, value = part.partition("=")
+        name = name.strip(' "')
+        try:
+            found[REPORT_WORDS.get(name, name)] = float(value)
+        except ValueError:
+            continue
+    try:
+        return tuple(found[f] for f in fields)
+    except KeyError:
+        return ()
+
+
+class Errand:
+    """One request to an upstream, until it has ended."""
+
+    __slots__ = ("body", "conn", "done", "expires", "head", "head_only", "opening", "peer", "sent", "stage",
+                 "timer")
+
+    def __init__(self, head: bytes, body: bytes, sent: float, time_out: float, head_only: bool,
+                 done: Callable[[Answer | Cut], None]) -> None:
+        self.head = head  # without the blank line at its end
+        self.body = body
+        self.sent = sent
+        self.expires = sent + time_out
+        self.head_only = head_only
+        self.done: Callable[[Answer | Cut], None] | None = done
+        self.stage = Stage.CONNECTING
+        self.peer: Peer | None = None
+        self.conn: Conn | None = None
+        self.opening: asyncio.Task[None] | None = None
+        self.timer: asyncio.TimerHandle | None = None
+
+    def end(self, outcome: Answer | Cut) -> None:
+        """It has ended; whatever comes later changes nothing."""
+        done, self.done = self.done, None
+        if done is None:
+            return
+        if self.timer is not None:
+            self.timer.cancel()
+        if self.peer is not None:
+            self.peer.errands.pop(self, None)
+        if self.opening is not None:
+            self.opening.cancel()
+        if self.conn is not None and isinstance(outcome, Cut):
+            self.conn.close()  # its late bytes must never reach another visit
+        done(outcome)
+
+    def cut(self, why: Why) -> None:
+        if self.done is not None and self.stage is Stage.WRITING and self.conn and self.conn.written():
+            self.stage = Stage.WRITTEN
+        self.end(Cut(self.stage, why))
+
+
+class Conn(asyncio.Protocol):
+    """One connection to an upstream; it carries one errand at a time."""
+
+    def __init__(self, peer: Peer) -> None:
+        self.peer = peer
+        self.errand: Errand | None = None
+        self.transport: asyncio.Transport | None = None
+        self.used = 0.0  # when its last whole answer came
+        self._parser = httptools.HttpResponseParser(self)
+        self._begin()
+
+    def _begin(self) -> None:
+        self._fields: list[bytes] = []
+        self._body: list[bytes] = []
+        self._size = 0
+        self._head_done = self._framed = self._never_ran = False
+        self._report = b""
+        self._answer: Answer | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        self.transport.set_write_buffer_limits(high=0)  # resume_writing tells when all has left our buffer
+
+    def written(self) -> bool:
+        return self.transport is not None and self.transport.get_write_buffer_size() == 0
+
+    def start(self, errand: Errand, now: float) -> None:
+        """Write the request; what is left of its time-out goes along."""
+        assert self.transport is not None
+        self.errand, errand.conn = errand, self
+        errand.stage = Stage.WRITING
+        left = max(1.0, errand.expires - now) / 1e3
+        self.transport.write(b"%bX-Expires-In: %.3f\r\n\r\n%b" % (errand.head, left, errand.body))
+        if self.written():
+            errand.stage = Stage.WRITTEN
+
+    def resume_writing(self) -> None:
+        if self.errand is not None and self.errand.stage is Stage.WRITING:
+            self.errand.stage = Stage.WRITTEN
+
+    def close(self) -> None:
+        self.errand = None
+        self.peer.forget(self)
+        if self.transport is not None:
+            self.transport.abort()
+
+    # what comes back
+
+    def data_received(self, data: bytes) -> None:
+        errand = self.errand
+        if errand is None:  # guards: bytes that nobody asked for would be taken for the next answer
+            self.close()
+            return
+        errand.stage = Stage.ANSWERING
+        self._size += len(data)
+        if self._size > MOST_BODY + MOST_HEAD:
+            errand.cut(Why.MALFORMED)
+            return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError:
+            if self._answer is None:
+                errand.cut(Why.MALFORMED)
+                return
+            self._finish(errand, keep=False)
+            return
+        if self._answer is not None:
+            self._finish(errand, keep=self._parser.should_keep_alive() and not errand.head_only)
+
+    def _finish(self, errand: Errand, keep: bool) -> None:
+        answer = self._answer
+        assert answer is not None
+        self.errand = errand.conn = None
+        if keep:
+            self._begin()
+            self.peer.rest(self)
+        else:
+            self.close()
+        errand.end(answer)
+
+    def eof_received(self) -> bool:
+        if self.errand is not None and self._head_done and not self._framed:
+            self.on_message_complete()  # an answer without a length lasts until the end
+            self._finish(self.errand, keep=False)
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.peer.forget(self)
+        if self.errand is not None:
+            self.errand.cut(Why.BROKEN)
+            self.errand = None
+
+    # the parser's calls
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if self._head_done:
+            return  # a trailer
+        known = name.lower()
+        if known in (b"content-length", b"transfer-encoding"):
+            self._framed = True
+        elif known == b"endpoint-load-metrics":
+            self._report = value
+        elif known == b"x-never-ran":
+            self._never_ran = value.strip() == b"1"
+        elif known not in HOP_BY_HOP:
+            self._fields.append(b"%b: %b\r\n" % (name, value))
+
+    def on_headers_complete(self) -> None:
+        self._head_done = True
+        status = self._parser.get_status_code()
+        if self.errand is not None and self.errand.head_only and status >= 200:
+            self.on_message_complete()
+
+    def on_body(self, body: bytes) -> None:
+        self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        if self._answer is not None:
+            return
+        status = self._parser.get_status_code()
+        if status < 200:
+            self._begin()  # an interim answer
+            return
+        self._answer = Answer(status, b"".join(self._fields), b"".join(self._body), self._report,
+                              self._never_ran)
+
+
+class Peer:
+    """One upstream: its address, its connections, the errands that are out to it."""
+
+    def __init__(self, pool: Upstreams, at: tuple[str, int]) -> None:
+        self.pool = pool
+        self.at = at
+        self.started = 0.0  # of its process, as the list says
+        self.idle: list[Conn] = []  # last used last
+        self.errands: dict[Errand, None] = {}
+
+    def run(self, errand: Errand, now: float) -> None:
+        errand.peer = self
+        self.errands[errand] = None
+        errand.timer = self.pool.loop.call_later(
+            max(0.0, errand.expires - now) / 1e3, self._expire, errand)
+        while self.idle:
+            conn = self.idle.pop()
+            if conn.transport is not None and not conn.transport.is_closing() \
+                    and now - conn.used < self.pool.keep_idle:
+                conn.start(errand, now)
+                return
+            conn.close()
+        if not self.pool.has_room():
+            errand.cut(Why.WITHDRAWN)
+            return
+        errand.opening = self.pool.loop.create_task(self._open(errand))
+
+    async def _open(self, errand: Errand) -> None:
+        """Connect for an errand; a connection that comes too late for it is closed."""
+        pool = self.pool
+        conn = Conn(self)
+        pool.open[conn] = None
+        try:
+            async with asyncio.timeout(pool.connect_time_out / 1e3):
+                await pool.loop.create_connection(lambda: conn, *self.at)
+        except TimeoutError:
+            errand.opening = None
+            errand.cut(Why.NO_CONNECTION)
+        except OSError:
+            errand.opening = None
+            errand.cut(Why.BROKEN)
+        else:
+            errand.opening = None
+            if conn.transport is None or conn.transport.is_closing():
+                errand.cut(Why.BROKEN)
+            elif errand.done is not None:
+                conn.start(errand, pool.clock())
+        finally:
+            if conn.errand is None:
+                conn.close()
+
+    def _expire(self, errand: Errand) -> None:
+        if errand.stage is Stage.WRITTEN:
+            # guards: an upstream that was cut off says nothing. Connections that have not answered since
+            # this errand was sent may be as dead as its own
+            for conn in [c for c in self.idle if c.used < errand.sent]:
+                conn.close()
+        errand.cut(Why.TIMED_OUT)
+
+    def rest(self, conn: Conn) -> None:
+        conn.used = self.pool.clock()
+        self.idle.append(conn)
+
+    def forget(self, conn: Conn) -> None:
+        self.pool.open.pop(conn, None)
+        if conn in self.idle:
+            self.idle.remove(conn)
+
+    def drop_idle(self, before: float = float("inf")) -> None:
+        """Close the connections that have been idle since before a time."""
+        for conn in [c for c in self.idle if c.used <= before]:
+            conn.close()
+
+    def withdraw(self) -> None:
+        """The list says that it takes nothing new: what is not yet written goes no more."""
+        self.drop_idle()
+        # guards: a send that waits for its connection could leave later than the grace after a drain
+        for errand in [e for e in self.errands if e.stage is Stage.CONNECTING]:
+            errand.cut(Why.WITHDRAWN)
+
+
+class Upstreams:
+    """All upstreams, by the small index that the front gave them, and the descriptors they may use."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, clock: Callable[[], float], most_open: int,
+                 connect_time_out: float, keep_idle: float) -> None:
+        self.loop = loop
+        self.clock = clock
+        self.most_open = most_open
+        self.connect_time_out = connect_time_out
+        self.keep_idle = KEEP_SHARE * keep_idle
+        self.peers: list[Peer] = []
+        self.open: dict[Conn, None] = {}
+
+    def add(self, at: tuple[str, int]) -> int:
+        self.peers.append(Peer(self, at))
+        return len(self.peers) - 1
+
+    def listed(self, upstream: int, at: tuple[str, int], started: float, ready: bool) -> None:
+        """What the list says of one now."""
+        peer = self.peers[upstream]
+        if at != peer.at or started != peer.started:
+            peer.drop_idle()  # another address or process
+        peer.at, peer.started = at, started
+        if not ready:
+            peer.withdraw()
+
+    def has_room(self) -> bool:
+        """Room for one more connection; at the limit the one that was idle longest makes it."""
+        if len(self.open) >= self.most_open:
+            idle = [peer.idle[0] for peer in self.peers if peer.idle]
+            if not idle:
+                return False
+            min(idle, key=lambda conn: conn.used).close()
+        return True
+
+    def tidy(self, now: float) -> None:
+        """Close what has been idle for long, before the other side does."""
+        for peer in self.peers:
+            peer.drop_idle(now - self.keep_idle)
+
+    def close(self) -> None:
+        for conn in list(self.open):
+            conn.close()
