--- a/ospreyline/net/upstreams.py
+++ b/ospreyline/net/upstreams.py
@@ -151,7 +151,7 @@
         self._fields: list[bytes] = []
         self._body: list[bytes] = []
         self._size = 0
-        self._head_done = self._framed = self._never_ran = False
+        self._head_done = self._framed = self._never_ran = self._keep = False
         self._report = b""
         self._answer: Answer | None = None
 
@@ -203,7 +203,7 @@
             self._finish(errand, keep=False)
             return
         if self._answer is not None:
-            self._finish(errand, keep=self._parser.should_keep_alive() and not errand.head_only)
+            self._finish(errand, keep=self._keep and not errand.head_only)
 
     def _finish(self, errand: Errand, keep: bool) -> None:
         answer = self._answer
@@ -259,6 +259,7 @@
         if status < 200:
             self._begin()  # an interim answer
             return
+        self._keep = self._parser.should_keep_alive()  # known only until this returns
         self._answer = Answer(status, b"".join(self._fields), b"".join(self._body), self._report,
                               self._never_ran)
 
