Tests of the front on sockets, and what they found at the edges of HTTP

Stories against peers on loopback. Found and mended by them: a head that came in one piece passed the limit of 32 KiB; bytes behind a last request gave a second answer; at the limit of descriptors a client accepted just now, whose request was not read yet, was dropped to make room (now only one idle for 100 ms). Found by reading: a visit without X-Trace-Id reached upstreams, whose 404 counted as their failure; a tagged visit without its key; a transfer coding other than chunked; a send carried out after a drain that was told in the same turn now ends as unsent (Peer.run).

--- a/ospreyline/net/clients.py
+++ b/ospreyline/net/clients.py
@@ -21,10 +21,13 @@
 
 IDLE = 75.0  # s that a connection may stand between requests
 SLOW = 10.0  # s that a request may take to come, or an answer to go
+SETTLED = 0.1  # s without a byte after which an idle connection may make room for another
 LINGER = 1.0  # s that a connection is read on after its last answer
 MOST_WAITING = 4  # requests read behind the one that is out, on one connection
 # what goes on to upstreams only as the balancer words it
 OWN_FIELDS = HOP_BY_HOP | {b"expect", b"x-expires-in"}
+OWN_PATHS = (b"/health/ready", b"/health/live")
+OWN = -1  # in place of a path prefix: answered by the balancer itself
 ONCE_FIELDS = frozenset((b"x-trace-id", b"idempotency-key", b"x-expires-in", b"content-length", b"host"))
 
 
@@ -36,11 +39,10 @@
     path: bytes  # with its query
     fields: bytes  # those that go on
     body: bytes
-    prefix: int
+    prefix: int  # or OWN
     time_left: float | None
     key: int
     repeat: bool
-    tagged: bool
 
     def head(self) -> bytes:
         """The head that goes on to an upstream, without the blank line at its end."""
@@ -52,6 +54,7 @@
     """Where whole requests go."""
 
     prefixes: dict[bytes, int]
+    tagged: frozenset[int]  # those prefixes whose visits need a key
     closing: bool
 
     def take(self, request: Request, client: Client) -> None: ...
@@ -106,8 +109,8 @@
         return self.out is None and not self._reading and not self._waiting and not self._over
 
     def data_received(self, data: bytes) -> None:
-        if self._over:
-            return
+        if self._over or not self._keep:
+            return  # behind the last request that is answered here
         if not self._head_done:
             self._size += len(data)
         try:
@@ -119,6 +122,8 @@
             if self._reading:
                 self._bad(BadRequest(400))
         except httptools.HttpParserError as error:
+            if not self._keep:
+                return self._next()
             cause = error.__context__
             self._bad(cause if isinstance(cause, BadRequest) else BadRequest(400))
         except BadRequest as error:
@@ -147,6 +152,8 @@
 
     def on_headers_complete(self) -> None:
         self._head_done, self._size = True, 0
+        if len(self._path) + sum(len(name) + len(value) for name, value in self._fields) > MOST_HEAD:
+            raise BadRequest(431)
         named: dict[bytes, bytes] = {}
         for name, value in self._fields:
             known = name.lower()
@@ -155,6 +162,8 @@
             named[known] = value
         if b"content-length" in named and b"transfer-encoding" in named:
             raise BadRequest(400)
+        if named.get(b"transfer-encoding", b"chunked").lower() != b"chunked":
+            raise BadRequest(501)
         if int(named.get(b"content-length", b"0")) > MOST_BODY:
             raise BadRequest(413)
         if named.get(b"expect", b"").lower() == b"100-continue" and self.transport is not None \
@@ -190,13 +199,19 @@
                 # guards: a client must not have the fields taken out that its effect depends on
                 named = {part.strip() for part in value.lower().split(b",")}
                 dropped |= named - {b"x-trace-id", b"idempotency-key", b"host"}
-        first = self._path.split(b"?", 1)[0].lstrip(b"/").split(b"/", 1)[0]
         method = self._parser.get_method()
-        if method == b"GET" and self._path in (b"/health/ready", b"/health/live"):
-            return Request(method, self._path, b"", b"", -1, None, 0, False, False)
-        prefix = self.clients.door.prefixes.get(first)
-        if prefix is None:
+        if method == b"GET" and self._path in OWN_PATHS:
+            return Request(method, self._path, b"", b"", OWN, None, 0, False)
+        if not self._path.startswith(b"/"):
+            raise BadRequest(400)
+        prefix = self.clients.door.prefixes.get(self._path.split(b"?", 1)[0].split(b"/", 2)[1], OWN)
+        if prefix == OWN:
             raise BadRequest(404)
+        # guards: upstreams turn away what has no id, which would count as their failure; and a repeat of a
+        # tagged visit is known by its key alone
+        if not own.get(b"x-trace-id") or (
+                prefix in self.clients.door.tagged and not own.get(b"idempotency-key")):
+            raise BadRequest(400)
         left: float | None = None
         if (text := own.get(b"x-expires-in")) is not None:
             try:
@@ -215,7 +230,6 @@
             time_left=left,
             key=int.from_bytes(blake2b(key, digest_size=8).digest(), "big") if key else 0,
             repeat=own.get(b"x-second-try", b"").strip() == b"1",
-            tagged=b"idempotency-key" in own,
         )
 
     # visits and their answers
@@ -226,7 +240,7 @@
             found = self._waiting.popleft()
             if isinstance(found, BadRequest):
                 self.answer(response(found.status, b"", b"", self._last()))
-            elif found.prefix < 0:
+            elif found.prefix == OWN:
                 ok = found.path != b"/health/ready" or self.clients.door.ready()
                 status, body = (200, b"ok\n") if ok else (503, b"not ready\n")
                 self.answer(response(status, b"", body, self._last()))
@@ -347,12 +361,14 @@
             conn.close()
 
     def _make_room(self) -> bool:
-        idle = [client for client in self.open if client.idle()]
+        # guards: the request of one that was accepted just now may wait to be read
+        settled = self.loop.time() - SETTLED
+        idle = [client for client in self.open if client.idle() and client.since < settled]
         if not idle:
             return False
         client = min(idle, key=lambda c: c.since)
         self.open.pop(client, None)
-        client.finish()
+        client.drop()
         return True
 
     def tidy(self) -> None:
@@ -368,16 +384,23 @@
     def busy(self) -> bool:
         """Whether anything that was taken waits for its answer, or is on its way in or out."""
         return bool(self._coming) or any(
-            c.out is not None or c._reading or c._waiting
-            or (c.transport is not None and c.transport.get_write_buffer_size()) for c in self.open)
+            not c.idle() and (not c._over or c.out is not None or c._waiting) for c in self.open)
 
     def stop_listening(self) -> None:
         """Accept what waits, then listen no more."""
         self.accept()
-        if self._socket is not None:
-            self.loop.remove_reader(self._socket)
-            self._socket.close()
-            self._socket = None
+        self._shut()
+
+    def _shut(self) -> None:
+        sock, self._socket = self._socket, None
+        if sock is not None:
+            self.loop.remove_reader(sock)
+            sock.close()
+
+    def close(self) -> None:
+        self._shut()
+        for client in list(self.open):
+            client.drop()
 
     def finish_idle(self) -> None:
         for client in [c for c in self.open if c.idle()]:
--- a/ospreyline/net/service.py
+++ b/ospreyline/net/service.py
@@ -29,24 +29,19 @@
         self._log = structlog.get_logger()
         self.turn = Turn(loop, post)
         self.clients = Clients(loop, self.turn, self.turn.most_clients)
-        self._stopping = asyncio.Event()
+        self.at = post.listen
         self._rounds = 0
         self._tidying: asyncio.TimerHandle | None = None
-        self._ended = False
 
-    async def run(self) -> None:
-        """Serve until told to stop, then finish what was taken."""
-        at = self.clients.listen(self._post.listen)
-        for number in (signal.SIGTERM, signal.SIGINT):
-            self._loop.add_signal_handler(number, self._stopping.set)
+    def start(self) -> None:
+        """Listen and serve from now on."""
+        self.at = self.clients.listen(self._post.listen)
         self._tidy()
-        gc.collect()
-        gc.freeze()  # what lives as long as we do is not looked at again
-        self._log.info("serving", name=self._post.name, listen=f"{at[0]}:{at[1]}", sockets=self._post.sockets)
-        await self._stopping.wait()
-        await self._stop()
+        self._log.info("serving", name=self._post.name, listen=f"{self.at[0]}:{self.at[1]}",
+                       sockets=self._post.sockets)
 
-    async def _stop(self) -> None:
+    async def stop(self) -> None:
+        """Finish what was taken; new connections are accepted for a while yet, and kept ones used."""
         began = self._loop.time()
         self._log.info("stopping", visits=len(self.turn.visits))
         self.turn.closing = True
@@ -58,16 +53,20 @@
             if not self.clients.busy() and not self.clients.open:
                 break
             await asyncio.sleep(0.02)
-        for taken in list(self.turn.visits.values()):
-            self.turn.note(self.turn._overdue, taken)
-        await asyncio.sleep(0.02)
-        if self._tidying is not None:
-            self._tidying.cancel()
-        self.turn.discovery.close()
-        self.turn.upstreams.close()
+        if self.turn.visits:
+            self.turn.answer_all()
+            await asyncio.sleep(0.02)
+        self.end()
         self._counts()
         self._log.info("stopped")
 
+    def end(self) -> None:
+        """Drop all connections."""
+        if self._tidying is not None:
+            self._tidying.cancel()
+        self.clients.close()
+        self.turn.close()
+
     def _tidy(self) -> None:
         self._tidying = self._loop.call_later(TIDY, self._tidy)
         self.clients.tidy()
@@ -109,4 +108,14 @@
 
 
 async def serve(post: Post) -> None:
-    await Service(asyncio.get_running_loop(), post).run()
+    """Run a balancer until SIGTERM or SIGINT."""
+    loop = asyncio.get_running_loop()
+    told_to_stop = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, told_to_stop.set)
+    service = Service(loop, post)
+    service.start()
+    gc.collect()
+    gc.freeze()  # what lives as long as we do is not looked at again
+    await told_to_stop.wait()
+    await service.stop()
--- a/ospreyline/net/turn.py
+++ b/ospreyline/net/turn.py
@@ -18,7 +18,7 @@
 
 from ospreyline.decide import Balancer, Visit
 from ospreyline.facts import Post
-from ospreyline.host import End, Listed, Readiness
+from ospreyline.host import End, Kind, Listed, Readiness
 from ospreyline.net import discovery
 from ospreyline.net.clients import Client, Request
 from ospreyline.net.discovery import Discovery, News, Target
@@ -58,6 +58,8 @@
         self.log_to: Any = structlog.get_logger()
         self.closing = False
         self.prefixes = {name.encode(): i for i, name in enumerate(post.prefix_names)}
+        self.tagged = frozenset(
+            i for i, terms in enumerate(post.terms.prefixes) if terms.kind is Kind.TAGGED)
         self.visits: dict[int, Taken] = {}
         self.counts: Counter[str] = Counter()
         self.latencies: list[float] = []  # ms, of the visits delivered since the last line of counts
@@ -125,6 +127,9 @@
             if taken is not None and not taken.answered:
                 self.fail(taken.tag)
                 self._drop(taken)
+                for errand in taken.errands:
+                    if errand is not None:
+                        errand.cut(Why.CALLED_OFF)
 
     def _set_alarm(self, now: float) -> None:
         if not self._wakes:
@@ -212,6 +217,18 @@
             taken.handle.ended(now, number, end, spent, taken.answered, report)
             self._settle(taken)
 
+    def answer_all(self) -> None:
+        """The balancer ends: what has no answer yet gets one now."""
+        for taken in self.visits.values():
+            self.note(self._overdue, taken)
+
+    def close(self) -> None:
+        self._wakes.clear()
+        if self._alarm is not None:
+            self._alarm.cancel()
+        self.discovery.close()
+        self.upstreams.close()
+
     def _settle(self, taken: Taken) -> None:
         if taken.handle is not None and taken.handle.settled:
             self._drop(taken)
@@ -325,12 +342,12 @@
         taken = self.visits[tag]
         taken.answered = True
         fields = b"Retry-After: %.3f\r\n" % (retry_after / 1e3) if retry_after else b""
-        self._to_do.append((self._reply, (taken, 503, fields, b"")))
+        self._to_do.append((self._reply, (taken, 503, fields, b"no room, try again\n")))
 
     def fail(self, tag: int) -> None:
         taken = self.visits[tag]
         taken.answered = True
-        self._to_do.append((self._reply, (taken, 504 if taken.timed_out else 502, b"", b"")))
+        self._to_do.append((self._reply, (taken, 504 if taken.timed_out else 502, b"", b"no answer\n")))
 
     def wake(self, at: float, call: Callable[[float], None]) -> None:
         self._wake_number += 1
--- a/ospreyline/net/upstreams.py
+++ b/ospreyline/net/upstreams.py
@@ -271,6 +271,7 @@
         self.pool = pool
         self.at = at
         self.started = 0.0  # of its process, as the list says
+        self.withdrawn = False  # the list says that it takes nothing new
         self.idle: list[Conn] = []  # last used last
         self.errands: dict[Errand, None] = {}
 
@@ -279,6 +280,9 @@
         self.errands[errand] = None
         errand.timer = self.pool.loop.call_later(
             max(0.0, errand.expires - now) / 1e3, self._expire, errand)
+        if self.withdrawn:
+            errand.cut(Why.WITHDRAWN)
+            return
         while self.idle:
             conn = self.idle.pop()
             if conn.transport is not None and not conn.transport.is_closing() \
@@ -339,6 +343,7 @@
 
     def withdraw(self) -> None:
         """The list says that it takes nothing new: what is not yet written goes no more."""
+        self.withdrawn = True
         self.drop_idle()
         # guards: a send that waits for its connection could leave later than the grace after a drain
         for errand in [e for e in self.errands if e.stage is Stage.CONNECTING]:
@@ -367,7 +372,7 @@
         peer = self.peers[upstream]
         if at != peer.at or started != peer.started:
             peer.drop_idle()  # another address or process
-        peer.at, peer.started = at, started
+        peer.at, peer.started, peer.withdrawn = at, started, not ready
         if not ready:
             peer.withdraw()
 
--- /dev/null
+++ b/tests/stand_ins.py
@@ -0,0 +1,280 @@
+"""Stand-ins: a host that notes what the decisions ask for and turns its own clock; peers on loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from dataclasses import replace
+from typing import Any
+
+from ospreyline import facts
+from ospreyline.decide import Balancer, Visit
+from ospreyline.host import Deployment, End, Kind, Listed, PathPrefix, Readiness, Scope
+from ospreyline.net.service import Service
+
+
+def prefix(kind: Kind, scope: Scope = Scope.ALL, gain: float = 1.0) -> PathPrefix:
+    return PathPrefix(kind, scope, 1_500.0, 1_000.0, 2_500.0, gain, 0.0)
+
+
+PLAIN = Deployment(
+    zone=0, zones=3, balancers=3, number=0, prefixes=(prefix(Kind.READ_LIKE),), ask_for_list=False)
+
+
+def listed(upstream: int, zone: int = 0, cell: int = 0, came_up: float = 0.0,
+           readiness: Readiness = Readiness.READY) -> Listed:
+    return Listed(upstream, upstream * 7919 + 13, zone, cell, readiness, came_up)
+
+
+class FakeHost:
+    def __init__(self, lines: list[Listed], start: float = 100_000.0, seed: int = 7, **terms: object) -> None:
+        self.now = start
+        self.sends: list[tuple[int, int, float, float]] = []  # tag, upstream, time-out, when
+        self.bounced: dict[int, float] = {}
+        self.failed: list[int] = []
+        self.cancelled: list[tuple[int, int]] = []
+        self.probes: list[int] = []
+        self.watches: list[float] = []
+        self.wakes: list[tuple[float, Callable[[float], None]]] = []
+        self.tags = 0
+        self.balancer = Balancer(self, replace(PLAIN, **terms), seed, start)  # type: ignore[arg-type]
+        self.balancer.told_all(self.now, lines)
+
+    def send(self, tag: int, upstream: int, time_out: float) -> None:
+        self.sends.append((tag, upstream, time_out, self.now))
+
+    def cancel(self, tag: int, fetch: int) -> None:
+        self.cancelled.append((tag, fetch))
+
+    def bounce(self, tag: int, retry_after: float) -> None:
+        self.bounced[tag] = retry_after
+
+    def fail(self, tag: int) -> None:
+        self.failed.append(tag)
+
+    def wake(self, at: float, call: Callable[[float], None]) -> None:
+        self.wakes.append((at, call))
+
+    def probe(self, upstream: int) -> None:
+        self.probes.append(upstream)
+
+    def watch(self, on: bool) -> None:
+        self.watches.append(self.now)
+
+    def refresh(self) -> None:
+        pass
+
+    def log(self, text: str) -> None:
+        pass
+
+    def pass_time(self, span: float) -> None:
+        """Let time go by; what was to be woken is woken."""
+        until = self.now + span
+        while self.wakes and min(at for at, _ in self.wakes) <= until:
+            due = min(self.wakes, key=lambda w: w[0])
+            self.wakes.remove(due)
+            self.now = max(self.now, due[0])
+            due[1](self.now)
+        self.now = until
+
+    def take(self, lane: int = 0, ttl: float = 2_500.0, key: int = 0) -> Visit:
+        self.tags += 1
+        return self.balancer.take(self.now, self.tags, lane, ttl, key, False)
+
+    def end(self, visit: Visit, end: End, spent: float = 50.0) -> None:
+        """The latest fetch of the visit ends like this, after so long."""
+        self.pass_time(spent)
+        visit.ended(self.now, len(visit.fetches) - 1, end, spent, end is End.DELIVERED, ())
+
+    def serve(self, visits: int, end: Callable[[int], End] = lambda upstream: End.DELIVERED,
+              lane: int = 0) -> list[int]:
+        """Visits one after another, each ended by its upstream's index; the upstreams they went to first."""
+        first = []
+        for _ in range(visits):
+            visit = self.take(lane)
+            sent = len(visit.fetches)
+            if sent:
+                first.append(visit.fetches[0].upstream.id)
+            while visit.out:
+                self.end(visit, end(visit.fetches[-1].upstream.id))
+        return first
+
+    def answers(self, visit: Visit) -> int:
+        """Final answers given to the client by us; a delivered one is the front's."""
+        return (visit.tag in self.bounced) + self.failed.count(visit.tag)
+
+
+# peers on loopback, for the front on sockets
+
+SILENT, RESET = "silent", "reset"
+Answer = bytes | str | tuple[str, bytes]
+
+
+def ok(body: bytes = b"hello", fields: bytes = b"", status: bytes = b"200 OK") -> bytes:
+    return b"HTTP/1.1 %b\r\n%bContent-Length: %d\r\n\r\n%b" % (status, fields, len(body), body)
+
+
+async def read_message(reader: asyncio.StreamReader) -> tuple[bytes, bytes]:
+    """Head and body of one message that states its length, or has no body."""
+    head = await reader.readuntil(b"\r\n\r\n")
+    length = 0
+    for line in head.split(b"\r\n"):
+        name, _, value = line.partition(b":")
+        if name.lower() == b"content-length":
+            length = int(value)
+    return head, await reader.readexactly(length)
+
+
+class Peer:
+    """A server that plays a part: each request takes the next answer, the last one stays."""
+
+    def __init__(self, *answers: Answer) -> None:
+        self.answers = list(answers) or [ok()]
+        self.requests: list[tuple[bytes, bytes]] = []
+        self.writers: list[asyncio.StreamWriter] = []
+        self.changed = asyncio.Event()
+        self.open = 0
+        self.port = 0
+
+    async def start(self) -> Peer:
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.port = self.server.sockets[0].getsockname()[1]
+        return self
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.writers.append(writer)
+        self.open += 1
+        try:
+            while True:
+                self.requests.append(await read_message(reader))
+                self.changed.set()
+                answer = self.answers.pop(0) if len(self.answers) > 1 else self.answers[0]
+                if answer == RESET:
+                    writer.transport.abort()
+                elif isinstance(answer, tuple):  # the last of its bytes, then the end
+                    writer.write(answer[1])
+                    writer.close()
+                elif isinstance(answer, bytes):
+                    writer.write(answer)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            self.open -= 1
+            self.changed.set()
+            writer.close()
+
+    async def until(self, holds: Callable[[], bool]) -> None:
+        """Wait until something holds that changes with what comes here."""
+        async with asyncio.timeout(5):
+            while not holds():
+                self.changed.clear()
+                await self.changed.wait()
+
+
+class Registry(Peer):
+    """Discovery: every watch stays open and is told what the story tells."""
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            self.requests.append(await read_message(reader))
+            if self.answers[0] == RESET:
+                writer.transport.abort()
+            else:
+                writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+                self.writers.append(writer)
+            self.changed.set()
+            await reader.read()
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            if writer in self.writers:
+                self.writers.remove(writer)
+            self.changed.set()
+            writer.close()
+
+    async def say(self, data: bytes, piece: int = 1 << 20) -> None:
+        """Write to the open watch, in chunks of so many bytes."""
+        await self.until(lambda: bool(self.writers))
+        for at in range(0, len(data), piece):
+            part = data[at:at + piece]
+            self.writers[-1].write(b"%x\r\n%b\r\n" % (len(part), part))
+            await self.writers[-1].drain()
+            await asyncio.sleep(0)
+
+    async def tell(self, rev: int, *targets: dict[str, Any], whole: bool = False,
+                   piece: int = 1 << 20) -> None:
+        line = json.dumps({"rev": rev, "all": whole, "targets": targets}, ensure_ascii=False)
+        await self.say(line.encode() + b"\n", piece)
+
+
+def target(uid: str, port: int, **more: Any) -> dict[str, Any]:
+    return {"uid": uid, "endpoint": f"127.0.0.1:{port}", "az": "a", "model": "m", "pod_group": 0,
+            "state": "active", "capacity_hint": 1.0, "boot_ms": 0, **more}
+
+
+def configuration(known: list[dict[str, Any]], registry: int = 1, sockets: int = 256,
+                  **caps: Any) -> dict[str, Any]:
+    def prefix(name: str, semantics: str) -> dict[str, Any]:
+        return {"Name": name, "Semantics": semantics, "KeyScope": "all", "ClientTimeoutUs": 2_000_000,
+                "TargetLatencyUs": 1_000_000, "WindowUs": 1_500_000, "Gain": 1.0}
+
+    return {
+        "name": "n0", "listen": "127.0.0.1:0", "discovery": f"127.0.0.1:{registry}", "seed": "8c1f",
+        "limits": {"sockets": sockets}, "known": {"rev": 3, "all": True, "targets": known},
+        "settings": {
+            "Balancers": 1, "Dcs": ["a", "b"], "Zone": 0, "Me": 0, "Discovery": "ask",
+            "PathPrefixes": [prefix("read", "repeatable"), prefix("tag", "by_key"), prefix("change", "once")],
+            "Caps": {"Cancel": True, "MostBackendFetches": 3, "MaxRetryAfterUs": 2_000_000,
+                     "RetryAfter": True, **caps}}}
+
+
+@asynccontextmanager
+async def running(*peers: Peer, registry: Peer | None = None, known: list[dict[str, Any]] | None = None,
+                  **more: Any) -> AsyncIterator[Service]:
+    """A balancer on sockets in front of peers that have started, or start now."""
+    for peer in (*peers, *([registry] if registry else [])):
+        if not peer.port:
+            await peer.start()
+    if known is None:
+        known = [target(f"u{i}", peer.port) for i, peer in enumerate(peers)]
+    told = configuration(known, registry.port if registry else 1, **more)
+    told["listen"] = "127.0.0.1:1"
+    post = replace(facts.post(json.dumps(told).encode(), {}), listen=("127.0.0.1", 0))
+    service = Service(asyncio.get_running_loop(), post)
+    service.start()
+    try:
+        yield service
+    finally:
+        service.end()
+
+
+def request(path: str = "/read/a", method: str = "GET", body: bytes = b"", trace: str = "9b1f",
+            **fields: str) -> bytes:
+    named = {"Host": "origin.svc", "X-Trace-Id": trace, **{k.replace("_", "-"): v for k, v in fields.items()}}
+    if body and "Transfer-Encoding" not in named:
+        named.setdefault("Content-Length", str(len(body)))
+    head = "".join(f"{k}: {v}\r\n" for k, v in named.items() if v)
+    return f"{method} {path} HTTP/1.1\r\n{head}\r\n".encode() + body
+
+
+class Caller:
+    """A client's connection."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.reader, self.writer = reader, writer
+
+    async def ask(self, data: bytes) -> tuple[int, bytes, bytes]:
+        self.writer.write(data)
+        return await self.answer()
+
+    async def answer(self) -> tuple[int, bytes, bytes]:
+        """Status, head and body of the next answer."""
+        async with asyncio.timeout(5):
+            head, body = await read_message(self.reader)
+            return int(head.split(b" ", 2)[1]), head, body
+
+
+async def caller(service: Service) -> Caller:
+    return Caller(*await asyncio.open_connection(*service.at))
--- /dev/null
+++ b/tests/test_clients.py
@@ -0,0 +1,192 @@
+"""What clients may send, and what each of them gets."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import pytest
+import uvloop
+from stand_ins import SILENT, Peer, caller, ok, request, running
+
+from ospreyline.net import clients
+
+KEY = {"Idempotency_Key": "5c0f"}
+
+
+def play(story: Callable[[], Awaitable[None]]) -> None:
+    uvloop.run(story())  # type: ignore[arg-type]
+
+
+def test_a_visit_goes_on_as_the_bytes_that_came():
+    async def story():
+        peer = Peer(ok(b"\x00\xffbody", b"Content-Type: x/y\r\nKeep-Alive: 5\r\n"))
+        async with running(peer) as service:
+            client = await caller(service)
+            status, head, body = await client.ask(request(
+                "/tag/a%20b?c=d", "POST", b"\x01\x02", Idempotency_Key="5C0f", X_Expires_In="0.480",
+                Connection="keep-alive, X-Secret", X_Secret="1", TE="trailers", X_Other="kept"))
+            assert (status, body) == (200, b"\x00\xffbody")
+            assert b"Content-Type: x/y" in head and b"Keep-Alive" not in head
+            sent, sent_body = peer.requests[0]
+            lines = sent.split(b"\r\n")
+            assert lines[0] == b"POST /tag/a%20b?c=d HTTP/1.1" and sent_body == b"\x01\x02"
+            for kept in (b"X-Trace-Id: 9b1f", b"Idempotency-Key: 5C0f", b"X-Other: kept"):
+                assert lines.count(kept) == 1
+            assert not [line for line in lines if line.startswith((b"TE", b"X-Secret", b"Connection"))]
+            left = [line for line in lines if line.startswith(b"X-Expires-In: ")]
+            assert len(left) == 1 and 0 < float(left[0].split()[1]) <= 0.480
+
+    play(story)
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"nonsense\r\n\r\n", 400),
+        (request(X_Long="x" * clients.MOST_HEAD), 431),
+        (request("/tag/a", "POST", b"x" * (clients.MOST_BODY + 1), **KEY), 413),
+        (request("/tag/a", "POST", b"10001\r\n" + b"x" * 65_537 + b"\r\n0\r\n\r\n",
+                 Transfer_Encoding="chunked", **KEY), 413),
+        (request("/nowhere"), 404),
+        (request("//read"), 404),
+        (request("read"), 400),
+        (request("/change", "POST", b"x", Transfer_Encoding="chunked", Content_Length="1"), 400),
+        (request("/change", "POST", b"1\r\nx\r\n0\r\n\r\n", Transfer_Encoding="gzip, chunked"), 501),
+        (request("/tag", "POST", b"x", **KEY).replace(b"Host", b"Idempotency-Key: 7\r\nHost"), 400),
+        (request("/tag", "POST", b"x"), 400),  # a repeat of it could not be told
+        (request(trace=""), 400),  # an upstream's refusal would count as its failure
+        (request(X_Expires_In="soon"), 400),
+        (request(X_Expires_In="nan"), 400),
+        (request(X_Expires_In="inf"), 400),
+    ],
+)
+def test_bad_input_is_answered_and_reaches_no_upstream(data, status):
+    async def story():
+        peer = Peer()
+        async with running(peer) as service:
+            assert (await (await caller(service)).ask(data))[0] == status
+            assert not peer.requests
+            assert (await (await caller(service)).ask(request()))[0] == 200
+
+    play(story)
+
+
+def test_a_client_cannot_have_the_fields_dropped_that_its_effect_depends_on():
+    async def story():
+        peer = Peer()
+        async with running(peer) as service:
+            client = await caller(service)
+            await client.ask(request("/tag", "POST", b"x", Connection="Idempotency-Key, X-Trace-Id", **KEY))
+            assert b"Idempotency-Key: 5c0f" in peer.requests[0][0] and b"X-Trace-Id" in peer.requests[0][0]
+
+    play(story)
+
+
+def test_a_chunked_body_goes_on_whole_after_a_continue():
+    async def story():
+        peer = Peer()
+        async with running(peer) as service:
+            client = await caller(service)
+            client.writer.write(
+                request("/change", "POST", Transfer_Encoding="chunked", Expect="100-continue"))
+            assert await client.reader.readuntil(b"\r\n\r\n") == b"HTTP/1.1 100 Continue\r\n\r\n"
+            client.writer.write(b"3\r\nabc\r\n2\r\n")
+            assert (await client.ask(b"de\r\n0\r\nX-Trailer: 1\r\n\r\n"))[0] == 200
+            assert peer.requests[0][1] == b"abcde" and b"Expect" not in peer.requests[0][0]
+
+    play(story)
+
+
+def test_requests_behind_one_another_are_answered_in_order():
+    async def story():
+        peer = Peer(*(ok(b"%d" % i) for i in range(12)))
+        async with running(peer) as service:
+            client = await caller(service)
+            client.writer.write(request() * 12)
+            assert [(await client.answer())[2] for _ in range(12)] == [b"%d" % i for i in range(12)]
+
+    play(story)
+
+
+def test_the_answer_comes_whole_though_bytes_are_left_unread():
+    async def story():
+        body = b"x" * 65_536
+        async with running(Peer(ok(body))) as service:
+            client = await caller(service)
+            client.writer.write(request(Connection="close") + b"y" * 500_000)
+            assert (await client.answer())[2] == body
+            assert await client.reader.read() == b""
+
+    play(story)
+
+
+@pytest.mark.parametrize("abort", [True, False])
+def test_a_client_that_leaves_ends_its_fetch(abort):
+    async def story():
+        peer = Peer(SILENT)
+        async with running(peer) as service:
+            client = await caller(service)
+            client.writer.write(request())
+            await peer.until(lambda: bool(peer.requests))
+            if abort:
+                client.writer.transport.abort()
+            else:
+                client.writer.close()
+            await peer.until(lambda: peer.open == 0)
+            assert len(peer.requests) == 1 and not service.turn.visits
+
+    play(story)
+
+
+def test_head_is_answered_without_a_body():
+    async def story():
+        peer = Peer(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n", ok(b"whole"))
+        async with running(peer) as service:
+            client = await caller(service)
+            client.writer.write(request(method="HEAD"))
+            head = await client.reader.readuntil(b"\r\n\r\n")
+            assert head.startswith(b"HTTP/1.1 200")
+            assert (await client.ask(request()))[2] == b"whole"
+
+    play(story)
+
+
+def test_at_the_limit_of_descriptors_idle_clients_make_room():
+    async def story():
+        async with running(Peer(), sockets=64) as service:
+            held = []
+            for _ in range(3 * service.turn.most_clients):
+                held.append(await caller(service))
+                assert (await held[-1].ask(request()))[0] == 200
+            assert len(service.clients.open) <= service.turn.most_clients
+            assert await held[0].reader.read() == b""
+
+    play(story)
+
+
+def test_at_the_limit_busy_clients_keep_theirs_and_the_rest_waits():
+    async def story():
+        peer = Peer(SILENT)
+        async with running(peer, sockets=64) as service:
+            held = [await caller(service) for _ in range(2 * service.turn.most_clients)]
+            for client in held:
+                client.writer.write(request(X_Expires_In="0.3"))
+            answers = await asyncio.gather(*(client.answer() for client in held))
+            assert {status for status, _, _ in answers} <= {503, 504}
+
+    play(story)
+
+
+def test_slow_and_idle_clients_are_cut_off():
+    async def story():
+        async with running(Peer()) as service:
+            slow, idle = await caller(service), await caller(service)
+            slow.writer.write(request()[:-4])
+            assert (await idle.ask(request()))[0] == 200
+            one, two = service.clients.open
+            now = asyncio.get_running_loop().time()
+            assert not one.overdue(now) and one.overdue(now + clients.SLOW + 1)
+            assert not two.overdue(now + clients.SLOW + 1) and two.overdue(now + clients.IDLE + 1)
+
+    play(story)
--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -5,7 +5,7 @@
 from collections import Counter
 
 import pytest
-from fake_host import FakeHost, listed, prefix
+from stand_ins import FakeHost, listed, prefix
 
 from ospreyline.decide import Visit
 from ospreyline.host import End, Kind
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import pytest
-from fake_host import FakeHost, listed, prefix
+from stand_ins import FakeHost, listed, prefix
 
 from ospreyline.host import End, Kind, Readiness, Scope
 
--- /dev/null
+++ b/tests/test_service.py
@@ -0,0 +1,226 @@
+"""The list as it comes from discovery, start and stop, configuration, and faults inside."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+
+import pytest
+from click.testing import CliRunner
+from stand_ins import RESET, SILENT, Peer, Registry, caller, configuration, ok, request, running, target
+from test_clients import play
+
+from ospreyline import facts
+from ospreyline.__main__ import main
+from ospreyline.net import discovery
+from ospreyline.net import service as service_module
+from ospreyline.net.turn import clock
+
+
+async def status_of(service, path="/health/ready"):
+    return (await (await caller(service)).ask(f"GET {path} HTTP/1.1\r\nHost: x\r\n\r\n".encode()))[0]
+
+
+@pytest.mark.parametrize("piece", [1, 7, 1 << 20])
+def test_changes_of_the_list_are_told_however_they_are_split(piece):
+    async def story():
+        registry, old, new = Registry(), Peer(ok(b"old")), await Peer(ok(b"new")).start()
+        async with running(old, registry=registry) as service:
+            client = await caller(service)
+            assert (await client.ask(request()))[2] == b"old"
+            leaving = target("u0", old.port, state="leaving")
+            await registry.tell(4, target("ü1", new.port), leaving, piece=piece)
+            await old.until(lambda: old.open == 0)  # idle connections to it are closed
+            assert [(await client.ask(request()))[2] for _ in range(5)] == [b"new"] * 5
+            assert b"?watch=1&after=3 " in registry.requests[0][0]
+            await registry.tell(5, target("u0", old.port), whole=True, piece=piece)
+            await new.until(lambda: new.open == 0)
+            assert [(await client.ask(request()))[2] for _ in range(5)] == [b"old"] * 5
+
+    play(story)
+
+
+@pytest.mark.parametrize(
+    "line",
+    [
+        b"no JSON\n", b'{"rev":9}\n', b"\xff\xfe\n", b"[]\n",
+        b'{"rev":1,"all":false,"targets":[{"uid":"u0","endpoint":"","state":"left"}]}\n',  # older than known
+        b'{"rev":9,"all":false,"targets":[{"uid":7},{"endpoint":"x"},{"uid":"z","endpoint":"nowhere"}]}\n',
+        b'{"rev":9,"all":false,"targets":[{"uid":"z","endpoint":"127.0.0.1:99999"}]}\n',
+        b'{"rev":9,"all":false,"targets":[{"uid":"z","endpoint":"127.0.0.1:1","state":"odd","az":"q"}]}\n',
+    ],
+)
+def test_odd_lines_of_the_list_are_never_fatal(line):
+    async def story():
+        registry, peer = Registry(), Peer()
+        async with running(peer, registry=registry) as service:
+            client = await caller(service)
+            await registry.say(line)
+            other = await Peer(ok(b"other")).start()
+            await registry.tell(10, target("u9", other.port), target("u0", peer.port, state="left"))
+            while b"other" not in (await client.ask(request()))[2]:
+                await registry.until(lambda: bool(registry.writers))
+                # a watch that was ended for its line is asked again, from where it was
+                if len(registry.requests) > 1:
+                    await registry.tell(10, target("u9", other.port), target("u0", peer.port, state="left"))
+            assert (await client.ask(request()))[0] == 200
+
+    play(story)
+
+
+@pytest.mark.parametrize("how", ["reset", "ends", "silent"])
+def test_a_watch_that_fails_is_asked_again(how, monkeypatch):
+    async def story():
+        registry, peer = Registry(), Peer()
+        if how == "reset":
+            registry.answers = [RESET]
+        if how == "silent":
+            monkeypatch.setattr(discovery, "QUIET", 0.05)
+        async with running(peer, registry=registry):
+            await registry.until(lambda: bool(registry.requests))
+            if how == "ends":
+                await registry.until(lambda: bool(registry.writers))
+                registry.writers[-1].close()
+            await registry.until(lambda: len(registry.requests) > 1)
+
+    play(story)
+
+
+def test_start_times_are_taken_to_our_clock_once():
+    async def story():
+        async with running(Peer()) as service:
+            turn = service.turn
+            young = discovery.Target("u0", "127.0.0.1:1", "a", 0, "active", time.time() * 1e3 - 5_000)
+            old = discovery.Target("u1", "127.0.0.1:1", "a", 0, "active", 0)
+            assert turn._line(young, 0).came_up == pytest.approx(clock() - 5_000, abs=500)
+            assert turn._line(young, 0).came_up == turn._line(young, 0).came_up
+            assert turn._line(old, 1).came_up == 0.0
+            assert turn._line(old, 1).mark == turn._line(old, 5).mark != turn._line(young, 0).mark
+
+    play(story)
+
+
+def test_ready_means_that_a_visit_could_be_decided():
+    async def story():
+        registry = Registry()
+        async with running(registry=registry, known=[]) as service:
+            assert await status_of(service) == 503
+            assert await status_of(service, "/health/live") == 200
+            peer = await Peer().start()
+            await registry.tell(4, target("u0", peer.port), whole=True)
+            while await status_of(service) != 200:
+                pass
+            assert (await (await caller(service)).ask(request()))[0] == 200
+
+    play(story)
+
+
+def test_at_a_stop_what_was_taken_is_answered_and_new_connections_still_come(monkeypatch):
+    async def story():
+        monkeypatch.setattr(service_module, "KEEP_ACCEPTING", 0.05)
+        peer = Peer(SILENT)
+        async with running(peer) as service:
+            waiting, idle = await caller(service), await caller(service)
+            waiting.writer.write(request("/change", "POST", b"x"))
+            await peer.until(lambda: bool(peer.requests))
+            peer.answers = [ok(b"soon")]
+            assert (await idle.ask(request()))[0] == 200
+            stopping = asyncio.ensure_future(service.stop())
+            await asyncio.sleep(0)
+            late = await caller(service)
+            status, head, _ = await late.ask(request())
+            assert status == 200 and b"Connection: close" in head
+            assert await idle.reader.read() == b""  # closed, nobody waits there
+            peer.writers[0].write(ok(b"slow"))
+            status, head, body = await waiting.answer()
+            assert (status, body) == (200, b"slow") and b"Connection: close" in head
+            waiting.writer.close()
+            late.writer.close()
+            await stopping
+            with pytest.raises(ConnectionError):
+                await caller(service)
+
+    play(story)
+
+
+@pytest.mark.parametrize("call", ["take", "_ended"])
+def test_a_fault_in_the_decisions_costs_one_visit_and_that_is_answered(call, monkeypatch):
+    async def story():
+        peers = Peer(ok(b"", b"", b"500 Internal Server Error"), ok()), Peer()
+        peers[1].answers = peers[0].answers
+        async with running(*peers) as service:
+            client = await caller(service)
+
+            def fault(*_):
+                monkeypatch.undo()
+                raise RuntimeError("a fault")
+
+            monkeypatch.setattr(service.turn.balancer, call, fault)
+            status, _, _ = await client.ask(request("/change", "POST", b"x"))
+            assert status == 502
+            assert (await client.ask(request()))[0] == 200
+            assert not service.turn.visits
+
+    play(story)
+
+
+def test_a_visit_that_the_decisions_forget_is_answered_by_the_backstop(monkeypatch):
+    async def story():
+        async with running(Peer(SILENT)) as service:
+            monkeypatch.setattr(service.turn, "_ended", lambda *_: None)
+            status, _, _ = await (await caller(service)).ask(request(X_Expires_In="0.05"))
+            assert status in (502, 504)
+
+    play(story)
+
+
+@pytest.mark.parametrize(
+    ("path", "value", "says"),
+    [
+        (("settings",), None, "settings"),
+        (("listen",), "nowhere", "listen: 'nowhere'"),
+        (("discovery",), "127.0.0.1:0", "discovery:"),
+        (("seed",), "xyz", "seed: 'xyz'"),
+        (("limits", "sockets"), 10, "limits.sockets: 10"),
+        (("limits", "sockets"), "many", "limits.sockets:"),
+        (("settings", "Zone"), 9, "settings.Zone: 9"),
+        (("settings", "Dcs"), 3, "settings.Dcs:"),
+        (("settings", "PathPrefixes"), None, "settings: Object missing required field `PathPrefixes`"),
+        (("settings", "PathPrefixes", 1, "Semantics"), "odd", "settings.PathPrefixes[1].Semantics"),
+        (("settings", "PathPrefixes", 1, "KeyScope"), "odd", "settings.PathPrefixes[1].KeyScope"),
+        (("settings", "PathPrefixes", 0, "ClientTimeoutUs"), -1, "settings.PathPrefixes[0].ClientTimeoutUs"),
+        (("settings", "PathPrefixes", 0, "ClientTimeoutUs"), None, "ClientTimeoutUs"),
+        (("settings", "PathPrefixes", 2, "Name"), "read", "settings.PathPrefixes[2].Name"),
+    ],
+)
+def test_a_faulty_configuration_is_one_line_that_names_the_key(path, value, says, tmp_path):
+    told = configuration([])
+    told["listen"] = "127.0.0.1:7070"
+    place = told
+    for key in path[:-1]:
+        place = place[key]
+    if value is None:
+        del place[path[-1]]
+    else:
+        place[path[-1]] = value
+    file = tmp_path / "config.json"
+    file.write_text(json.dumps(told))
+    result = CliRunner().invoke(main, ["check", str(file)])
+    assert result.exit_code == 2 and says in result.stderr and len(result.stderr.splitlines()) == 1
+
+
+@pytest.mark.parametrize("text", [None, "{", ""])
+def test_a_configuration_that_is_no_file_or_no_json_is_one_line(text, tmp_path):
+    file = tmp_path / "config.json"
+    if text is not None:
+        file.write_text(text)
+    result = CliRunner().invoke(main, ["serve"], env={"PROXY_CONFIG": str(file)})
+    assert result.exit_code == 2 and len(result.stderr.splitlines()) == 1 and str(file) in result.stderr
+
+
+def test_variables_win_over_the_file():
+    told = configuration([])
+    told["listen"] = "127.0.0.1:7070"
+    post = facts.post(json.dumps(told).encode(), {"PROXY_LISTEN": "127.0.0.2:80", "PROXY_NAME": "n7"})
+    assert post.listen == ("127.0.0.2", 80) and post.name == "n7" and post.seed == 0x8C1F
--- /dev/null
+++ b/tests/test_upstreams.py
@@ -0,0 +1,197 @@
+"""How fetches end on sockets, and what becomes of their connections."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from stand_ins import RESET, SILENT, Peer, caller, ok, request, running
+from test_clients import KEY, play
+
+from ospreyline.host import End
+from ospreyline.net.turn import clock
+from ospreyline.net.upstreams import Answer, Cut, Errand, Stage, Why, end_of, load_report
+
+NEVER = b"X-Never-Ran: 1\r\n"
+TURNED_AWAY = ok(b"", NEVER, b"503 Service Unavailable")
+
+
+@pytest.mark.parametrize(
+    ("outcome", "end"),
+    [
+        (Answer(200, b"", b"", b"", False), End.DELIVERED),
+        (Answer(500, b"", b"", b"", False), End.ERRORED),
+        (Answer(500, b"", b"", b"", True), End.ERRORED),
+        (Answer(503, b"", b"", b"", True), End.FULL),
+        (Answer(504, b"", b"", b"", True), End.FULL),
+        (Answer(503, b"", b"", b"", False), End.ERRORED),
+        (Answer(204, b"", b"", b"", False), End.ERRORED),
+        (Cut(Stage.CONNECTING, Why.BROKEN), End.UNREACHED),
+        (Cut(Stage.CONNECTING, Why.NO_CONNECTION), End.UNREACHED),
+        (Cut(Stage.CONNECTING, Why.TIMED_OUT), End.UNREACHED),
+        (Cut(Stage.CONNECTING, Why.WITHDRAWN), End.UNSENT),
+        (Cut(Stage.WRITING, Why.BROKEN), End.UNREACHED),
+        (Cut(Stage.WRITTEN, Why.BROKEN), End.RESET),
+        (Cut(Stage.ANSWERING, Why.BROKEN), End.RESET),
+        (Cut(Stage.ANSWERING, Why.MALFORMED), End.RESET),
+        (Cut(Stage.WRITTEN, Why.TIMED_OUT), End.TIMED_OUT),
+        (Cut(Stage.ANSWERING, Why.TIMED_OUT), End.TIMED_OUT),
+        (Cut(Stage.CONNECTING, Why.CALLED_OFF), End.CANCELLED),
+    ],
+)
+def test_how_far_it_had_come_says_whether_it_can_have_run(outcome, end):
+    assert end_of(outcome) is end
+
+
+@pytest.mark.parametrize(
+    ("text", "report"),
+    [
+        (b"TEXT inflight=7, queue=2, util=0.61", (0.61, 2.0)),
+        (b"TEXT cpu=0.215,waiting=1", (0.215, 1.0)),
+        (b'JSON {"util": 0.5, "queue": 3}', (0.5, 3.0)),
+        (b"TEXT util=0.61", ()),
+        (b"TEXT util=much, queue=2", ()),
+        (b"", ()),
+    ],
+)
+def test_load_reports_are_read_in_either_set_of_words(text, report):
+    assert load_report(text, ("util", "queue")) == report
+
+
+@pytest.mark.parametrize(
+    ("first", "path", "status", "fetches"),
+    [
+        (TURNED_AWAY, "/change", 200, 2),
+        (ok(b"", b"", b"503 Service Unavailable"), "/change", 502, 1),
+        (ok(b"", b"", b"500 Internal Server Error"), "/change", 502, 1),
+        (ok(b"", b"", b"500 Internal Server Error"), "/read", 200, 2),
+        (RESET, "/change", 502, 1),
+        (RESET, "/read", 200, 2),
+        (RESET, "/tag", 200, 2),
+        (("cut", b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf"), "/change", 502, 1),
+        (("cut", b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf"), "/read", 200, 2),
+        (b"no HTTP at all\r\n\r\n", "/change", 502, 1),
+        (b"no HTTP at all\r\n\r\n", "/read", 200, 2),
+        (ok(b"x" * 120_000), "/change", 502, 1),
+        (("cut", b"HTTP/1.1 200 OK\r\n\r\nwhole"), "/read", 200, 1),  # its end is the end of the body
+        (b"HTTP/1.1 102 Processing\r\n\r\n" + ok(b"whole"), "/change", 200, 1),
+    ],
+)
+def test_a_failed_fetch_is_repeated_only_where_that_is_harmless(first, path, status, fetches):
+    async def story():
+        peers = Peer(first, ok(b"whole")), Peer()
+        peers[1].answers = peers[0].answers  # whichever is asked first fails
+        async with running(*peers) as service:
+            got = await (await caller(service)).ask(request(
+                path, "GET" if path == "/read" else "POST", **(KEY if path == "/tag" else {})))
+            assert got[0] == status and (status != 200 or got[2] == b"whole")
+            assert sum(len(peer.requests) for peer in peers) == fetches
+
+    play(story)
+
+
+@pytest.mark.parametrize("path", ["/read", "/change"])
+def test_one_that_cannot_be_reached_never_ran(path):
+    async def story():
+        gone, there = await Peer().start(), Peer()
+        gone.server.close()
+        async with running(gone, there) as service:
+            client = await caller(service)
+            for _ in range(6):
+                assert (await client.ask(request(path, "POST", b"x")))[0] == 200
+            assert len(there.requests) == 6
+
+    play(story)
+
+
+def test_a_late_answer_never_reaches_another_visit():
+    async def story():
+        peer = Peer(SILENT, ok(b"second"))
+        async with running(peer) as service:
+            client = await caller(service)
+            assert (await client.ask(request("/change", "POST", b"x", X_Expires_In="0.1")))[0] == 504
+            peer.writers[0].write(ok(b"first"))
+            assert (await client.ask(request()))[2] == b"second"
+
+    play(story)
+
+
+def test_a_connection_is_kept_and_the_one_last_used_is_taken():
+    async def story():
+        peer = Peer()
+        async with running(peer) as service:
+            client = await caller(service)
+            for _ in range(5):
+                assert (await client.ask(request()))[0] == 200
+            assert len(peer.writers) == 1
+            # well before the upstream would close it, it is closed by us
+            service.turn.upstreams.tidy(clock() + 0.9 * 15_000)
+            await peer.until(lambda: peer.open == 0)
+
+    play(story)
+
+
+@pytest.mark.parametrize("answer", [("cut", ok()), ok() + b"more", ok(b"hello", b"Connection: close\r\n")])
+def test_a_connection_that_is_ended_or_out_of_step_is_not_used_again(answer):
+    async def story():
+        peer = Peer(answer, ok(b"second"))
+        async with running(peer) as service:
+            client = await caller(service)
+            assert (await client.ask(request()))[2] == b"hello"
+            await peer.until(lambda: peer.open == 0)
+            assert (await client.ask(request("/change", "POST", b"x")))[2] == b"second"
+            assert len(peer.writers) == 2
+
+    play(story)
+
+
+def test_connections_silent_over_a_time_out_are_not_trusted_again():
+    async def story():
+        # met in thought, a cut link: an upstream that is cut off leaves its connections open and silent
+        peer = Peer(SILENT, SILENT, ok())
+        async with running(peer) as service:
+            one, two = await caller(service), await caller(service)
+            upstream = service.turn.upstreams.peers[0]
+            results: list[Answer | Cut] = []
+            now = clock()
+            for _ in range(2):
+                upstream.run(Errand(b"GET / HTTP/1.1\r\n", b"", now, 5_000, False, results.append), now)
+            await peer.until(lambda: len(peer.requests) == 2)
+            peer.writers[0].write(ok())
+            while not upstream.idle:
+                await asyncio.sleep(0)
+            late = Errand(b"GET / HTTP/1.1\r\n", b"", clock() + 1, 1, False, results.append)
+            late.peer, late.stage = upstream, Stage.WRITTEN
+            upstream._expire(late)
+            assert not upstream.idle and results[-1] == Cut(Stage.WRITTEN, Why.TIMED_OUT)
+            assert one and two
+
+    play(story)
+
+
+def test_what_waits_for_its_connection_does_not_go_once_the_list_withdraws_the_upstream():
+    async def story():
+        peer = Peer()
+        async with running(peer) as service:
+            upstream = service.turn.upstreams.peers[0]
+            results: list[Answer | Cut] = []
+            now = clock()
+            upstream.run(Errand(b"GET / HTTP/1.1\r\n", b"", now, 1_000, False, results.append), now)
+            service.turn.upstreams.listed(0, upstream.at, 0.0, ready=False)
+            upstream.run(Errand(b"GET / HTTP/1.1\r\n", b"", now, 1_000, False, results.append), now)
+            assert [end_of(result) for result in results] == [End.UNSENT, End.UNSENT]
+
+    play(story)
+
+
+def test_at_the_limit_an_idle_connection_makes_room_and_else_nothing_leaves():
+    async def story():
+        peers = [Peer(), Peer()]
+        async with running(*peers) as service:
+            service.turn.upstreams.most_open = 1
+            client = await caller(service)
+            for _ in range(8):
+                assert (await client.ask(request()))[0] == 200
+            assert len(service.turn.upstreams.open) <= 1 and all(peer.requests for peer in peers)
+
+    play(story)
