--- a/ospreyline/facts.py
+++ b/ospreyline/facts.py
@@ -19,6 +19,10 @@
     """The configuration cannot be used; the text names the key."""
 
 
+class _Limits(msgspec.Struct):
+    sockets: int = 1024
+
+
 class _File(msgspec.Struct):
     """The file of a balancer on sockets; keys that are not named here are ignored."""
 
@@ -27,14 +31,10 @@
     listen: str = ""
     discovery: str = ""
     seed: str | int = 0
-    limits: _Limits = msgspec.field(default_factory=lambda: _Limits())
+    limits: _Limits = msgspec.field(default_factory=_Limits)
     known: msgspec.Raw = msgspec.Raw(b'{"rev":0,"all":true,"targets":[]}')
 
 
-class _Limits(msgspec.Struct):
-    sockets: int = 1024
-
-
 class _Wire(msgspec.Struct, rename="pascal"):
     """A JSON object of the settings; keys that are not named here are ignored."""
 
--- a/ospreyline/net/clients.py
+++ b/ospreyline/net/clients.py
@@ -21,7 +21,7 @@
 
 IDLE = 75.0  # s that a connection may stand between requests
 SLOW = 10.0  # s that a request may take to come, or an answer to go
-SETTLED = 0.1  # s without a byte after which an idle connection may make room for another
+SETTLED = 0.1  # s without a byte after which we may close an idle connection
 LINGER = 1.0  # s that a connection is read on after its last answer
 MOST_WAITING = 4  # requests read behind the one that is out, on one connection
 # what goes on to upstreams only as the balancer words it
@@ -361,9 +361,7 @@
             conn.close()
 
     def _make_room(self) -> bool:
-        # guards: the request of one that was accepted just now may wait to be read
-        settled = self.loop.time() - SETTLED
-        idle = [client for client in self.open if client.idle() and client.since < settled]
+        idle = self._idle()
         if not idle:
             return False
         client = min(idle, key=lambda c: c.since)
@@ -403,5 +401,10 @@
             client.drop()
 
     def finish_idle(self) -> None:
-        for client in [c for c in self.open if c.idle()]:
+        for client in self._idle():
             client.finish()
+
+    def _idle(self) -> list[Client]:
+        # guards: the request of one that was accepted just now may wait to be read
+        settled = self.loop.time() - SETTLED
+        return [client for client in self.open if client.idle() and client.since < settled]
--- a/ospreyline/net/discovery.py
+++ b/ospreyline/net/discovery.py
@@ -15,7 +15,7 @@
 
 from ospreyline import facts
 
-QUIET = 3.5  # s without a byte after which a call is dead: an empty line is due every 2 s
+QUIET = 3.0  # s without a byte after which a call is dead: an empty line is due every 2 s
 MOST_LINE = 8 << 20
 
 
--- a/ospreyline/net/turn.py
+++ b/ospreyline/net/turn.py
@@ -55,7 +55,7 @@
     """The `Host` of one balancer, and the `Door` of its clients."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, post: Post) -> None:
-        self.log_to: Any = structlog.get_logger()
+        self.logger: Any = structlog.get_logger()
         self.closing = False
         self.prefixes = {name.encode(): i for i, name in enumerate(post.prefix_names)}
         self.tagged = frozenset(
@@ -83,8 +83,8 @@
         self.most_clients = part
         self.upstreams = Upstreams(loop, clock, part, post.connect_time_out, post.keep_idle)
         self._reports = post.terms.report_fields
-        known = discovery.read(post.known, self.log_to)
-        self.discovery = Discovery(loop, post.discovery, known.rev if known else 0, self.log_to,
+        known = discovery.read(post.known, self.logger)
+        self.discovery = Discovery(loop, post.discovery, known.rev if known else 0, self.logger,
                                    tell=lambda news: self.note(self._told, news),
                                    tell_failed=lambda: self.note(self._told_nothing))
         now = clock()
@@ -122,7 +122,7 @@
         except Exception:
             # guards: a fault in the decisions costs the visit that it met, which still gets its answer
             self.counts["faults"] += 1
-            self.log_to.exception("fault in a turn")
+            self.logger.exception("fault in a turn")
             taken = next((arg for arg in args if isinstance(arg, Taken)), None)
             if taken is not None and not taken.answered:
                 self.fail(taken.tag)
@@ -194,7 +194,7 @@
         if taken.answered:
             return
         self.counts["overdue"] += 1
-        self.log_to.error("visit answered by the backstop", fetches=len(taken.errands))
+        self.logger.error("visit answered by the backstop", fetches=len(taken.errands))
         self.fail(taken.tag)
         if taken.handle is not None:
             taken.handle.left(now)
@@ -311,7 +311,7 @@
         zone = self._zones.get(target.az)
         if zone is None:
             zone = (self._post.terms.zone - 1) % self._post.terms.zones  # the last that traffic spills to
-            self.log_to.warning("unknown zone in the list", uid=target.uid, zone=target.az)
+            self.logger.warning("unknown zone in the list", uid=target.uid, zone=target.az)
         return Listed(
             upstream=upstream,
             mark=int.from_bytes(blake2b(target.uid.encode(), digest_size=8).digest(), "big"),
@@ -324,7 +324,7 @@
     def _note_state(self, uid: str, state: Readiness, target: Target | None) -> None:
         if self._states.get(uid) is not state:
             self._states[uid] = state
-            self.log_to.info("upstream", uid=uid, state=state.name.lower(),
+            self.logger.info("upstream", uid=uid, state=state.name.lower(),
                              boot_ms=target.boot_ms if target else None)
 
     # -- what the decisions ask for -----------------------------------------------------------------------
@@ -363,4 +363,4 @@
         self._to_do.append((lambda now: self.discovery.refresh(), ()))
 
     def log(self, text: str) -> None:
-        self.log_to.info(text)
+        self.logger.info(text)
