A visit that was held and then given up is forgotten

A visit bounced in the turn of another event (a look at held ones, room that came) was never settled: Turn._settle was called only for the visit whose event it was. Now after every final answer (Turn._reply).

--- a/ospreyline/net/clients.py
+++ b/ospreyline/net/clients.py
@@ -108,6 +108,10 @@
     def idle(self) -> bool:
         return self.out is None and not self._reading and not self._waiting and not self._over
 
+    def busy(self) -> bool:
+        """Whether a request is coming, or waits for its answer."""
+        return self.out is not None or bool(self._waiting) or (self._reading and not self._over)
+
     def data_received(self, data: bytes) -> None:
         if self._over or not self._keep:
             return  # behind the last request that is answered here
@@ -381,8 +385,7 @@
 
     def busy(self) -> bool:
         """Whether anything that was taken waits for its answer, or is on its way in or out."""
-        return bool(self._coming) or any(
-            not c.idle() and (not c._over or c.out is not None or c._waiting) for c in self.open)
+        return bool(self._coming) or any(client.busy() for client in self.open)
 
     def stop_listening(self) -> None:
         """Accept what waits, then listen no more."""
--- a/ospreyline/net/turn.py
+++ b/ospreyline/net/turn.py
@@ -192,7 +192,7 @@
     def _overdue(self, now: float, taken: Taken) -> None:
         """Guards: whatever went wrong, a visit that was taken is answered."""
         if taken.answered:
-            return
+            return self._settle(taken)
         self.counts["overdue"] += 1
         self.logger.error("visit answered by the backstop", fetches=len(taken.errands))
         self.fail(taken.tag)
@@ -243,6 +243,8 @@
             client, taken.client = taken.client, None
             client.reply(status, fields, body)
             self.counts[f"answers_{status}"] += 1
+        # guards: one that was held and then given up in another's turn was never forgotten
+        self._settle(taken)
 
     # -- upstreams ----------------------------------------------------------------------------------------
 
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -165,6 +165,22 @@
     play(story)
 
 
+def test_a_visit_that_was_held_and_then_given_up_is_forgotten(monkeypatch):
+    async def story():
+        # met on busy days: hundreds of open visits in the counts, with some dozens of clients
+        async with running(Peer()) as service:
+            monkeypatch.setattr(service.turn.balancer, "_place", lambda *_: False)
+            service.turn.balancer._flow = 100.0
+            client = await caller(service)
+            client.writer.write(request(X_Expires_In="0.3"))
+            while not service.turn.balancer._held:
+                await asyncio.sleep(0)
+            assert service.turn.visits and (await client.answer())[0] == 503
+            assert not service.turn.visits
+
+    play(story)
+
+
 def test_a_visit_that_the_decisions_forget_is_answered_by_the_backstop(monkeypatch):
     async def story():
         async with running(Peer(SILENT)) as service:
