Socket figures, lines of the log for on-call staff; a lost log or a taken address

A log that cannot be written (its reader has gone) raised out of the turn; LogFile answers that. serve on an address in use ended in a traceback; now one line, status 1.

--- a/ospreyline/__main__.py
+++ b/ospreyline/__main__.py
@@ -41,7 +41,12 @@
     from ospreyline.net import service
 
     service.start_log()
-    uvloop.run(service.serve(post))
+    try:
+        uvloop.run(service.serve(post))
+    except OSError as error:
+        at = f"{post.listen[0]}:{post.listen[1]}"
+        click.echo(f"ospreyline: cannot listen on {at}: {error.strerror}", err=True)
+        sys.exit(1)
 
 
 @main.command()
--- a/ospreyline/net/service.py
+++ b/ospreyline/net/service.py
@@ -7,6 +7,8 @@
 import signal
 import statistics
 import sys
+from contextlib import suppress
+from typing import TextIO, cast
 
 import structlog
 
@@ -82,7 +84,7 @@
         times = sorted(turn.latencies)
         figures: dict[str, float] = {}
         if len(times) > 1:
-            cuts = statistics.quantiles(times, n=100)
+            cuts = statistics.quantiles(times, n=100, method="inclusive")
             figures = {f"p{n}_ms": round(cuts[n - 1], 1) for n in (50, 90, 99)}
         self._log.info(
             "counts", open_visits=len(turn.visits), clients=len(self.clients.open),
@@ -93,6 +95,22 @@
         turn.lag = 0.0
 
 
+class LogFile:
+    """Standard output as long as somebody reads it. Guards: a log that is lost must not cost a visit."""
+
+    def __init__(self, file: TextIO) -> None:
+        self._file = file
+
+    def write(self, text: str) -> int:
+        with suppress(OSError, ValueError):
+            return self._file.write(text)
+        return 0
+
+    def flush(self) -> None:
+        with suppress(OSError, ValueError):
+            self._file.flush()
+
+
 def start_log() -> None:
     """JSON lines on standard output."""
     structlog.configure(
@@ -102,7 +120,7 @@
             structlog.processors.format_exc_info,
             structlog.processors.JSONRenderer(),
         ],
-        logger_factory=structlog.WriteLoggerFactory(file=sys.stdout),
+        logger_factory=structlog.WriteLoggerFactory(file=cast(TextIO, LogFile(sys.stdout))),
         cache_logger_on_first_use=True,
     )
 
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -4,7 +4,10 @@
 
 import asyncio
 import json
+import os
+import socket
 import time
+from contextlib import suppress
 
 import pytest
 from click.testing import CliRunner
@@ -235,6 +238,28 @@
     assert result.exit_code == 2 and len(result.stderr.splitlines()) == 1 and str(file) in result.stderr
 
 
+def test_a_log_that_nobody_reads_costs_nothing():
+    reads, writes = os.pipe()
+    file = os.fdopen(writes, "w")
+    log = service_module.LogFile(file)
+    os.close(reads)
+    log.write("a line\n")
+    log.flush()
+    with suppress(OSError):
+        file.close()
+    log.write("another\n")
+
+
+def test_an_address_in_use_is_one_line(tmp_path, monkeypatch):
+    monkeypatch.setattr(service_module, "start_log", lambda: None)  # it is for the whole process
+    with socket.create_server(("127.0.0.1", 0)) as taken:
+        told = configuration([]) | {"listen": f"127.0.0.1:{taken.getsockname()[1]}"}
+        file = tmp_path / "config.json"
+        file.write_text(json.dumps(told))
+        result = CliRunner().invoke(main, ["serve", str(file)])
+    assert result.exit_code == 1 and "cannot listen on 127.0.0.1" in result.stderr
+
+
 def test_variables_win_over_the_file():
     told = configuration([])
     told["listen"] = "127.0.0.1:7070"
