No io_uring thread polling on our core; listen may name port 0

Checked: a stack sampler showed epoll_pwait and nothing of ours; a system call trace showed no busy loop, but a second thread of the process that takes each stop signal: the kernel's polling thread of an io_uring that libuv sets up. A signal resets its idle time, so under a limit that works by stopping the process it polls on, and the limit stops it again. Ruled out: accepting at the limit of descriptors (a probe at the limit used 1% of a core). Line at fault: none of ours; __main__.serve now sets UV_USE_IO_URING=0 before the loop is made.

--- a/ospreyline/__main__.py
+++ b/ospreyline/__main__.py
@@ -36,6 +36,9 @@
 def serve(config: Path) -> None:
     """Serve as CONFIG says (default: the file that PROXY_CONFIG names) until SIGTERM."""
     post = _post(config)
+    # guards: the loop's library starts an io_uring thread that polls on our core for a while after each
+    # signal; where a limit on CPU time works by stopping the process, that alone kept it at the limit
+    os.environ.setdefault("UV_USE_IO_URING", "0")
     import uvloop
 
     from ospreyline.net import service
--- a/ospreyline/facts.py
+++ b/ospreyline/facts.py
@@ -169,7 +169,7 @@
             raise FactError(f"settings.PathPrefixes[{i}].Name: {name!r} cannot be the first part of a path")
     return Post(
         name=env.get("PROXY_NAME") or file.name,
-        listen=_address("listen", env.get("PROXY_LISTEN") or file.listen),
+        listen=_address("listen", env.get("PROXY_LISTEN") or file.listen, lowest_port=0),
         discovery=_address("discovery", env.get("PROXY_DISCOVERY") or file.discovery),
         seed=seed,
         sockets=sockets,
@@ -182,16 +182,16 @@
     )
 
 
-def address(text: str) -> tuple[str, int] | None:
+def address(text: str, lowest_port: int = 1) -> tuple[str, int] | None:
     """Host and port of `host:port`; None where it is none."""
     host, _, port = text.rpartition(":")
-    if not host or not (port.isascii() and port.isdigit()) or not 0 < int(port) < 65_536:
+    if not host or not (port.isascii() and port.isdigit()) or not lowest_port <= int(port) < 65_536:
         return None
     return host.strip("[]"), int(port)
 
 
-def _address(key: str, text: str) -> tuple[str, int]:
-    found = address(text)
+def _address(key: str, text: str, lowest_port: int = 1) -> tuple[str, int]:
+    found = address(text, lowest_port)
     if found is None:
         raise FactError(f"{key}: {text!r} is no address of the form host:port")
     return found
