An entry of the list without its place does not move an upstream

Read, not met: a 'left' entry without az counted its upstream to another zone, and repeats of tagged visits that may have run there go by the zone.

--- a/ospreyline/net/discovery.py
+++ b/ospreyline/net/discovery.py
@@ -31,7 +31,7 @@
     uid: str
     endpoint: str = ""
     az: str = ""
-    pod_group: int = 0
+    pod_group: int | None = None
     state: str = "active"
     boot_ms: float = 0.0
 
--- a/ospreyline/net/turn.py
+++ b/ospreyline/net/turn.py
@@ -78,6 +78,7 @@
         self._indices: dict[str, int] = {}
         self._zones = {name: i for i, name in enumerate(post.zone_names)}
         self._states: dict[str, Readiness] = {}
+        self._places: dict[int, tuple[int, int]] = {}  # zone and cell, by upstream
         # descriptors: some for the loop, the listener and discovery; half of the rest for each side
         part = (post.sockets - 32) // 2
         self.most_clients = part
@@ -310,15 +311,20 @@
         return lines
 
     def _line(self, target: Target, upstream: int) -> Listed:
-        zone = self._zones.get(target.az)
-        if zone is None:
-            zone = (self._post.terms.zone - 1) % self._post.terms.zones  # the last that traffic spills to
+        # guards: an entry that leaves out its place (one that is gone may) must not move the upstream, as
+        # repeats of what may have run there go by it. One never seen counts to the last zone that we spill to
+        was_zone, was_cell = self._places.get(
+            upstream, ((self._post.terms.zone - 1) % self._post.terms.zones, 0))
+        zone = self._zones.get(target.az, was_zone)
+        if target.az and target.az not in self._zones:
             self.logger.warning("unknown zone in the list", uid=target.uid, zone=target.az)
+        cell = was_cell if target.pod_group is None else target.pod_group
+        self._places[upstream] = zone, cell
         return Listed(
             upstream=upstream,
             mark=int.from_bytes(blake2b(target.uid.encode(), digest_size=8).digest(), "big"),
             zone=zone,
-            cell=target.pod_group,
+            cell=cell,
             readiness=_READINESS.get(target.state, Readiness.DRAINING),  # unknown: nothing new
             came_up=target.boot_ms - self._unix_offset if target.boot_ms > 0 else 0.0,
         )
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -107,6 +107,19 @@
     play(story)
 
 
+def test_an_entry_without_its_place_does_not_move_an_upstream():
+    async def story():
+        async with running(Peer(), Peer()) as service:
+            turn = service.turn
+            turn._line(discovery.Target("u0", az="b", pod_group=4), 0)
+            for odd in (discovery.Target("u0", state="left"), discovery.Target("u0", az="nowhere")):
+                line = turn._line(odd, 0)
+                assert (line.zone, line.cell) == (1, 4)
+            assert turn._line(discovery.Target("u0", az="a", pod_group=2), 0).zone == 0
+
+    play(story)
+
+
 def test_ready_means_that_a_visit_could_be_decided():
     async def story():
         registry = Registry()
