Out-of-step answers, endless trailers and small chunks, found by rereading the network code

A second answer behind a whole one, or half of one, left its connection kept: what came next would have been read as its rest, so one visit could get another's bytes (Conn.on_message_begin; a connection whose request is not all written is not kept either). Trailers and chunk headers of a client were counted nowhere and had no end but the 10 s for a slow sender (Client.data_received). An upstream's answer in small chunks counted against the limit by its bytes on the wire, so one of 60,000 bytes was malformed. A connect time-out or keep-alive time of 0 passed the configuration.

--- a/ospreyline/facts.py
+++ b/ospreyline/facts.py
@@ -217,6 +217,10 @@
             raise FactError(f"{at}KeyScope: unknown {p.key_scope!r}")
         if not p.client_timeout_us > 0:
             raise FactError(f"{at}ClientTimeoutUs: {p.client_timeout_us} is no time")
+    for key, span in (("ConnectTimeoutUs", facts.caps.connect_timeout_us),
+                      ("KeepaliveUs", facts.caps.keepalive_us)):
+        if not span > 0:
+            raise FactError(f"{root}Caps.{key}: {span} is no time")
     if facts.zone < 0 or facts.zone >= max(1, len(facts.dcs)):
         raise FactError(f"{root}Zone: {facts.zone} is not the place of a zone in Dcs")
     return facts
--- a/ospreyline/net/clients.py
+++ b/ospreyline/net/clients.py
@@ -17,7 +17,7 @@
 
 import httptools
 
-from ospreyline.net.upstreams import HOP_BY_HOP, MOST_BODY, MOST_HEAD
+from ospreyline.net.upstreams import HOP_BY_HOP, MOST_BODY, MOST_HEAD, MOST_RAW
 
 IDLE = 75.0  # s that a connection may stand between requests
 SLOW = 10.0  # s that a request may take to come, or an answer to go
@@ -98,7 +98,7 @@
         self._path = b""
         self._fields: list[tuple[bytes, bytes]] = []
         self._body: list[bytes] = []
-        self._size = 0
+        self._raw = self._size = 0
         self._head_done = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -115,12 +115,13 @@
     def data_received(self, data: bytes) -> None:
         if self._over or not self._keep:
             return  # behind the last request that is answered here
-        if not self._head_done:
-            self._size += len(data)
+        self._raw += len(data)
         try:
             self._parser.feed_data(data)
-            if not self._head_done and self._size > MOST_HEAD:
+            if not self._head_done and self._raw > MOST_HEAD:
                 raise BadRequest(431)
+            if self._reading and self._raw > MOST_RAW:
+                raise BadRequest(413)  # guards: trailers and chunk headers are no body, and have no end
         except httptools.HttpParserUpgrade:
             self._keep = False  # no other protocol is spoken here
             if self._reading:
@@ -155,7 +156,7 @@
             self._fields.append((name, value))
 
     def on_headers_complete(self) -> None:
-        self._head_done, self._size = True, 0
+        self._head_done = True
         if len(self._path) + sum(len(name) + len(value) for name, value in self._fields) > MOST_HEAD:
             raise BadRequest(431)
         named: dict[bytes, bytes] = {}
--- a/ospreyline/net/service.py
+++ b/ospreyline/net/service.py
@@ -1,4 +1,4 @@
-"""Start and stop of a balancer on sockets, and the work that comes round every second."""
+"""Start and stop of a balancer on sockets, and the work that comes round."""
 
 from __future__ import annotations
 
--- a/ospreyline/net/turn.py
+++ b/ospreyline/net/turn.py
@@ -87,7 +87,7 @@
         known = discovery.read(post.known, self.logger)
         self.discovery = Discovery(loop, post.discovery, known.rev if known else 0, self.logger,
                                    tell=lambda news: self.note(self._told, news),
-                                   tell_failed=lambda: self.note(self._told_nothing))
+                                   tell_failed=lambda: self.note(self.balancer.told_nothing))
         now = clock()
         self.balancer = Balancer(self, post.terms, post.seed, now)
         self.balancer.told_all(now, self._lines(known) if known else [])
@@ -286,9 +286,6 @@
         else:
             self.balancer.told_changes(now, lines)
 
-    def _told_nothing(self, now: float) -> None:
-        self.balancer.told_nothing(now)
-
     def _lines(self, news: News) -> list[Listed]:
         """News as the decisions take it; what the list says of connections is acted upon here."""
         lines = []
--- a/ospreyline/net/upstreams.py
+++ b/ospreyline/net/upstreams.py
@@ -19,6 +19,7 @@
 
 MOST_BODY = 65_536
 MOST_HEAD = 32_768
+MOST_RAW = MOST_HEAD + 8 * MOST_BODY  # one message as sent: small chunks cost several times their content
 KEEP_SHARE = 0.8  # of the time that an upstream keeps an idle connection: ours are closed earlier
 HOP_BY_HOP = frozenset((
     b"connection", b"keep-alive", b"proxy-connection", b"proxy-authenticate", b"proxy-authorization", b"te",
@@ -150,7 +151,7 @@
     def _begin(self) -> None:
         self._fields: list[bytes] = []
         self._body: list[bytes] = []
-        self._size = 0
+        self._raw = self._size = 0
         self._head_done = self._framed = self._never_ran = self._keep = False
         self._report = b""
         self._answer: Answer | None = None
@@ -190,8 +191,8 @@
             self.close()
             return
         errand.stage = Stage.ANSWERING
-        self._size += len(data)
-        if self._size > MOST_BODY + MOST_HEAD:
+        self._raw += len(data)
+        if self._raw > MOST_RAW:
             errand.cut(Why.MALFORMED)
             return
         try:
@@ -203,7 +204,8 @@
             self._finish(errand, keep=False)
             return
         if self._answer is not None:
-            self._finish(errand, keep=self._keep and not errand.head_only)
+            # guards: a request that is not all written, or a second answer, would put it out of step
+            self._finish(errand, keep=self._keep and self.written() and not errand.head_only)
 
     def _finish(self, errand: Errand, keep: bool) -> None:
         answer = self._answer
@@ -230,6 +232,10 @@
 
     # the parser's calls
 
+    def on_message_begin(self) -> None:
+        if self._answer is not None:
+            self._keep = False  # a second answer, maybe a part of one, that nobody asked for
+
     def on_header(self, name: bytes, value: bytes) -> None:
         if self._head_done:
             return  # a trailer
@@ -250,6 +256,9 @@
             self.on_message_complete()
 
     def on_body(self, body: bytes) -> None:
+        self._size += len(body)
+        if self._size > MOST_BODY:
+            raise ValueError("body too large")  # stops the parser
         self._body.append(body)
 
     def on_message_complete(self) -> None:
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -48,6 +48,8 @@
         (request("/tag/a", "POST", b"x" * (clients.MOST_BODY + 1), **KEY), 413),
         (request("/tag/a", "POST", b"10001\r\n" + b"x" * 65_537 + b"\r\n0\r\n\r\n",
                  Transfer_Encoding="chunked", **KEY), 413),
+        (request("/change", "POST", b"1\r\nx\r\n0\r\nX-Trailer: " + b"y" * 2 * clients.MOST_RAW,
+                 Transfer_Encoding="chunked"), 413),
         (request("/nowhere"), 404),
         (request("//read"), 404),
         (request("read"), 400),
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -220,6 +220,7 @@
         (("limits", "sockets"), 10, "limits.sockets: 10"),
         (("limits", "sockets"), "many", "limits.sockets:"),
         (("settings", "Zone"), 9, "settings.Zone: 9"),
+        (("settings", "Caps", "ConnectTimeoutUs"), 0, "settings.Caps.ConnectTimeoutUs: 0.0"),
         (("settings", "Dcs"), 3, "settings.Dcs:"),
         (("settings", "PathPrefixes"), None, "settings: Object missing required field `PathPrefixes`"),
         (("settings", "PathPrefixes", 1, "Semantics"), "odd", "settings.PathPrefixes[1].Semantics"),
