SIGHUP rereads the configuration and moves discovery; nothing told meanwhile is lost

At fault: no handler in net/service.py, PROXY_DISCOVERY winning over the file in facts.py, one fixed address and one count of rev in net/discovery.py. Now: SIGHUP is ignored until heard; the file is read again, its discovery is taken whatever is set, an unusable file is one line and changes nothing, other changed keys are named as needing a restart. The new address is watched at once from 0, as it may count otherwise; the old watch is heard until the new one has spoken and its end is not told as a failure; if the new one begins with changes only, the whole list is asked for. Ruled out: the stop after SIGTERM (2 nodes ended by themselves).

--- a/ospreyline/__main__.py
+++ b/ospreyline/__main__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import signal
 import sys
 from pathlib import Path
 
@@ -17,13 +18,10 @@
 def _post(path: Path) -> facts.Post:
     """Read the configuration, or end with one line that says what is wrong with it, and status 2."""
     try:
-        return facts.post(path.read_bytes(), os.environ)
-    except OSError as error:
-        problem = f"{path}: {error.strerror}"
+        return facts.load(path, os.environ)
     except facts.FactError as error:
-        problem = f"{path}: {error}"
-    click.echo(f"ospreyline: {problem}", err=True)
-    sys.exit(2)
+        click.echo(f"ospreyline: {error}", err=True)
+        sys.exit(2)
 
 
 @click.group()
@@ -34,7 +32,8 @@
 @main.command()
 @CONFIG
 def serve(config: Path) -> None:
-    """Serve as CONFIG says (default: the file that PROXY_CONFIG names) until SIGTERM."""
+    """Serve as CONFIG says (default: the file that PROXY_CONFIG names) until SIGTERM; SIGHUP rereads it."""
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # guards: until it is heard it would end the process
     post = _post(config)
     # guards: the loop's library starts an io_uring thread that polls on our core for a while after each
     # signal; where a limit on CPU time works by stopping the process, that alone kept it at the limit
@@ -45,7 +44,7 @@
 
     service.start_log()
     try:
-        uvloop.run(service.serve(post))
+        uvloop.run(service.serve(post, lambda: facts.load(config, os.environ, again=True)))
     except OSError as error:
         at = f"{post.listen[0]}:{post.listen[1]}"
         click.echo(f"ospreyline: cannot listen on {at}: {error.strerror}", err=True)
--- a/ospreyline/facts.py
+++ b/ospreyline/facts.py
@@ -9,6 +9,7 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass
+from pathlib import Path
 
 import msgspec
 
@@ -143,12 +144,36 @@
     connect_time_out: float
     keep_idle: float  # how long an upstream keeps an idle connection
 
+    def needs_restart(self, new: Post) -> list[str]:
+        """The keys that differ in a new file and that a reload leaves as they are.
+
+        `seed` and `known` are for a start alone, so they are not compared.
+        """
+        groups = {
+            "name": ("name",), "listen": ("listen",), "limits": ("sockets",),
+            "settings": ("terms", "prefix_names", "zone_names", "connect_time_out", "keep_idle")}
+        return [key for key, fields in groups.items()
+                if any(getattr(self, f) != getattr(new, f) for f in fields)]
+
 
 def read(text: bytes) -> Deployment:
     """Decode the settings for the decisions; `FactError` if unusable."""
     return _deployment(_facts(text, ""))
 
 
+def load(path: Path, env: Mapping[str, str], again: bool = False) -> Post:
+    """Read the file of a balancer; again: on a reload the file names discovery, whatever is set."""
+    if again:
+        # guards: the variable still holds the address from the start, and would win over the new one
+        env = {key: value for key, value in env.items() if key != "PROXY_DISCOVERY"}
+    try:
+        return post(path.read_bytes(), env)
+    except OSError as error:
+        raise FactError(f"{path}: {error.strerror}") from error
+    except FactError as error:
+        raise FactError(f"{path}: {error}") from error
+
+
 def post(text: bytes, env: Mapping[str, str]) -> Post:
     """Decode the file of a balancer on sockets; variables that are set win over the file."""
     try:
--- a/ospreyline/net/discovery.py
+++ b/ospreyline/net/discovery.py
@@ -1,6 +1,7 @@
 """The list of upstreams: asked for once, or watched; what comes is checked line by line.
 
-When to ask is decided elsewhere. A call that fails, or a watch that ends or falls silent, is told once.
+When to ask is decided elsewhere. A call that fails, or a watch that ends or falls silent, is told once. A new
+address is asked at once; the old one's watch is heard until the new one has said something.
 """
 
 from __future__ import annotations
@@ -46,6 +47,7 @@
 
 
 class Log(Protocol):
+    def info(self, event: str, **values: Any) -> Any: ...
     def warning(self, event: str, **values: Any) -> Any: ...
 
 
@@ -126,9 +128,9 @@
 
     def _told(self, line: bytes) -> None:
         if not line.strip():
-            self.owner.told(None)
+            self.owner.told(self, None)
         elif (news := read(line, self.owner.log)) is not None:
-            self.owner.told(news)
+            self.owner.told(self, news)
         else:
             # guards: a lost change would be news never told; asking again brings it
             self.stop("unreadable line")
@@ -156,6 +158,18 @@
         self._tell_failed = tell_failed
         self._calls: dict[_Call, asyncio.Task[None]] = {}
         self._watch: _Call | None = None
+        self._former: _Call | None = None  # the watch at the address before, until the new one has spoken
+        self._moved = False  # and it has not yet
+
+    def move(self, at: tuple[str, int]) -> None:
+        """Discovery is elsewhere now. Nothing that is told meanwhile may be lost."""
+        former = self._former or self._watch
+        for call in [c for c in self._calls if c is not former]:
+            self._drop(call)
+        self.at, self._former, self._watch = at, former, None
+        self._moved = True
+        self.rev = 0  # guards: the new service may count otherwise, so it is asked for all that it has
+        self.watch(True)
 
     def watch(self, on: bool) -> None:
         """Watch the list from now on, by a new call, or no longer."""
@@ -186,8 +200,20 @@
         if call.transport is not None:
             call.transport.abort()
 
-    def told(self, news: News | None) -> None:
+    def told(self, call: _Call, news: News | None) -> None:
         """A line has come; an empty one (None) says that nothing has changed."""
+        if call is self._former:
+            if news is not None:
+                self._tell(news)
+            return
+        if self._moved:
+            self._moved = False
+            former, self._former = self._former, None
+            if former is not None:
+                self._drop(former)
+            self.log.info("discovery has moved", rev=news and news.rev, whole=bool(news and news.whole))
+            if news is None or not news.whole:
+                self.refresh()  # guards: who is gone need not be among the changes
         if news is None:
             news = News(self.rev, False, [])
         elif news.rev < self.rev:
@@ -201,7 +227,9 @@
         self._drop(call)
         if call is self._watch:
             self._watch = None
-        if why:
+        if call is self._former:
+            self._former = None  # guards: its end says nothing of the new address
+        elif why:
             self.log.warning("call to discovery failed", why=why, watch=call.watching)
             self._tell_failed()
 
--- a/ospreyline/net/service.py
+++ b/ospreyline/net/service.py
@@ -1,4 +1,4 @@
-"""Start and stop of a balancer on sockets, and the work that comes round."""
+"""Start, reload and stop of a balancer on sockets, and the work that comes round."""
 
 from __future__ import annotations
 
@@ -7,12 +7,13 @@
 import signal
 import statistics
 import sys
+from collections.abc import Callable
 from contextlib import suppress
 from typing import TextIO, cast
 
 import structlog
 
-from ospreyline.facts import Post
+from ospreyline.facts import FactError, Post
 from ospreyline.net.clients import Clients
 from ospreyline.net.turn import Turn, clock
 
@@ -42,6 +43,22 @@
         self._log.info("serving", name=self._post.name, listen=f"{self.at[0]}:{self.at[1]}",
                        sockets=self._post.sockets)
 
+    def reload(self, reread: Callable[[], Post]) -> None:
+        """The file of the configuration may be new: discovery moves, the rest holds until a restart."""
+        if self.turn.closing:
+            return
+        try:
+            new = reread()
+        except FactError as error:
+            self._log.error("configuration not reloaded, the old one stays", problem=str(error))
+            return
+        if restart := self._post.needs_restart(new):
+            self._log.warning("changes that need a restart", keys=restart)
+        moved = new.discovery != self.turn.discovery.at
+        self._log.info("reloaded", discovery="{}:{}".format(*new.discovery), moved=moved)
+        if moved:
+            self.turn.discovery.move(new.discovery)
+
     async def stop(self) -> None:
         """Finish what was taken; new connections are accepted for a while yet, and kept ones used."""
         began = self._loop.time()
@@ -125,13 +142,14 @@
     )
 
 
-async def serve(post: Post) -> None:
-    """Run a balancer until SIGTERM or SIGINT."""
+async def serve(post: Post, reread: Callable[[], Post]) -> None:
+    """Run a balancer until SIGTERM or SIGINT; SIGHUP reads its file again."""
     loop = asyncio.get_running_loop()
     told_to_stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, told_to_stop.set)
     service = Service(loop, post)
+    loop.add_signal_handler(signal.SIGHUP, service.reload, reread)
     service.start()
     gc.collect()
     gc.freeze()  # what lives as long as we do is not looked at again
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import os
+import signal
 import socket
 import subprocess
 import sys
@@ -210,6 +211,92 @@
     play(story)
 
 
+def moved(service, registry, **changes):
+    """Reload a file that names another discovery."""
+    told = configuration([], registry.port) | changes
+    service.reload(lambda: facts.post(json.dumps(told).encode(), {}))
+
+
+@pytest.mark.parametrize("first", ["whole", "changes"])
+def test_a_reload_moves_discovery_and_loses_no_news_on_the_way(first):
+    async def story():
+        old, new = Registry(), await Registry().start()
+        peers = Peer(ok(b"0")), Peer(ok(b"1")), Peer(ok(b"2"))
+        async with running(*peers, registry=old) as service:
+            client = await caller(service)
+            await old.tell(7, target("u9", 1, state="left"))
+            moved(service, new)
+            await new.until(lambda: bool(new.writers))
+            # what the old one tells until the new one has spoken is still news
+            await old.tell(8, target("u0", peers[0].port, state="leaving"))
+            while b"0" in [(await client.ask(request()))[2] for _ in range(20)]:
+                pass
+            for writer in list(old.writers):
+                writer.close()  # its end is no failure of the new one
+            await old.until(lambda: not old.writers)
+            # the new one counts otherwise, and the old one's later numbers mean nothing there
+            assert b"after=0 " in new.requests[0][0]
+            await new.tell(2, target("u1", peers[1].port, state="leaving"), target("u2", peers[2].port),
+                           whole=first == "whole")
+            while {(await client.ask(request()))[2] for _ in range(20)} != {b"2"}:
+                pass
+            if first == "changes":  # who is gone need not be among them: the whole list is asked for
+                await new.until(lambda: len(new.requests) > 1)
+                assert new.requests[1][0].startswith(b"GET /registry/instances HTTP")
+            assert service.turn.counts["faults"] == 0 and len(new.requests) == 1 + (first == "changes")
+
+    play(story)
+
+
+def test_a_second_reload_before_the_first_has_been_answered_keeps_hearing_the_oldest():
+    async def story():
+        registries = [await Registry().start() for _ in range(3)]
+        peers = Peer(ok(b"0")), Peer(ok(b"1"))
+        async with running(*peers, registry=registries[0]) as service:
+            await registries[0].tell(5, target("u1", peers[1].port))
+            for registry in registries[1:]:
+                moved(service, registry)
+            await registries[0].tell(6, target("u0", peers[0].port, state="leaving"))
+            client = await caller(service)
+            while {(await client.ask(request()))[2] for _ in range(20)} != {b"1"}:
+                pass
+            await registries[2].tell(1, target("u0", peers[0].port), whole=True)
+            while {(await client.ask(request()))[2] for _ in range(20)} != {b"0"}:
+                pass
+            await registries[0].until(lambda: not registries[0].writers)
+
+    play(story)
+
+
+@pytest.mark.parametrize("text", [b"", b'{"name"', b'{"settings":{"PathPrefixes":[]}}', None])
+def test_a_reload_of_an_unusable_file_changes_nothing(text, tmp_path):
+    async def story():
+        registry, file = Registry(), tmp_path / "config.json"
+        if text is not None:
+            file.write_bytes(text)
+        async with running(Peer(), registry=registry) as service:
+            await registry.until(lambda: bool(registry.writers))
+            service.reload(lambda: facts.load(file, {}, again=True))
+            assert service.turn.discovery.at[1] == registry.port and registry.writers
+            assert (await (await caller(service)).ask(request()))[0] == 200
+
+    play(story)
+
+
+def test_a_reload_names_what_needs_a_restart_and_takes_discovery_from_the_file(tmp_path):
+    file = tmp_path / "config.json"
+    told = configuration([], 7)
+    file.write_text(json.dumps(told))
+    env = {"PROXY_DISCOVERY": "127.0.0.1:5", "PROXY_NAME": "n7"}
+    first, again = facts.load(file, env), facts.load(file, env, again=True)
+    assert first.discovery[1] == 5 and again.discovery[1] == 7 and not first.needs_restart(again)
+    told["limits"]["sockets"] = 99
+    told["settings"]["PathPrefixes"][0]["Gain"] = 3
+    told["listen"] = "127.0.0.1:1"
+    file.write_text(json.dumps(told))
+    assert first.needs_restart(facts.load(file, env, again=True)) == ["listen", "limits", "settings"]
+
+
 @pytest.mark.parametrize(
     ("path", "value", "says"),
     [
@@ -270,6 +357,11 @@
         fds = Path(f"/proc/{process.pid}/fd")
         if fds.exists():
             assert not [fd for fd in fds.iterdir() if fd.is_symlink() and "io_uring" in os.readlink(fd)]
+        for port in (9, 9, 10):  # twice the same, then another: it goes on
+            file.write_text(json.dumps(configuration([], port)))
+            process.send_signal(signal.SIGHUP)
+            reloaded = next(line for line in map(json.loads, lines) if line["event"] == "reloaded")
+            assert reloaded["discovery"] == f"127.0.0.1:{port}"
         process.terminate()
         assert [json.loads(line)["event"] for line in lines][-1] == "stopped"
         assert process.wait(10) == 0
