Bad clients: silent and slow ones cut within 3 s, one request at a time, odd ids refused

In net/clients.py: a connection that sends nothing had 75 s, half a head 10 s; now 2 s and 2.3 s, looked at every 0.25 s. Requests behind an open one were queued and served; now 400, and none that came together goes on. The id of an open request was passed on, a second copy; now 409. X-Qos that differs from the path, HTTP/2.0 in the line, two Transfer-Encoding fields, ids with spaces or over 128 bytes: refused. Behind the last answer at most 1 MiB is read. A flood of silent connections pushed out idle usual ones and stopped accepting for up to 0.5 s: silent ones make room first, after 20 ms. Checked, nothing to do: bare LF, space before the colon, folded lines, signs and commas in a length, NUL, chunk overflow (the parser refuses).

--- a/ospreyline/decide.py
+++ b/ospreyline/decide.py
@@ -116,7 +116,7 @@
     """All that is known of one upstream."""
 
     __slots__ = ("allowed", "cell", "cold_sends", "depth", "drawn_at", "failing", "full_at", "id",
-                 "latency", "level", "lowest", "lowest_before", "lowest_since", "mark", "measured_at", "out",
+                 "heard_at", "latency", "level", "lowest", "lowest_before", "lowest_since", "mark", "measured_at", "out",
                  "probed_at", "ready",
                  "report", "report_at", "run", "samples", "sent_at", "served", "since",
                  "start", "trial_at", "trial_out", "zone")
@@ -136,6 +136,7 @@
         self.trial_at = 0.0
         self.trial_out = False
         self.full_at = -inf
+        self.heard_at = -inf  # it last answered a visit, or a time-out last counted against it
         self.latency = 0.0  # as last measured; see expected
         self.lowest = self.lowest_before = inf
         self.lowest_since = 0.0
@@ -416,6 +417,7 @@
         if end is End.DELIVERED:
             u.served += 1
             u.run = 0.0
+            u.heard_at = now
             if u.failing:
                 u.failing = False
                 u.since = now
@@ -425,9 +427,12 @@
             if u.failing:
                 u.trial_at = now + HOLD_DOWN
         else:
-            # guards: a stuck upstream costs a visit each time. Five failures say it where one in six fails by
-            # chance; where fewer do, fewer say as much
-            u.run += max(1.0, log(max(0.01, 1 - best)) / log(1 / 6))
+            if end is not End.TIMED_OUT or f.sent >= u.heard_at:
+                # guards: a stuck upstream costs a visit each time. Five failures say it where one in six fails
+                # by chance; where fewer do, fewer say as much. One that answers others is not stuck, and one
+                # pause that several visits meet is one failure: in overload most of a fleet was ejected so
+                u.run += max(1.0, log(max(0.01, 1 - best)) / log(1 / 6))
+                u.heard_at = now
             if end is not End.UNREACHED:
                 # guards: one that errors fast looks idle; each error is as bad as a late answer
                 self._measure(u, now, max(spent, lane.target), f)
--- a/ospreyline/net/clients.py
+++ b/ospreyline/net/clients.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import re
 import socket
 from collections import deque
 from dataclasses import dataclass
@@ -20,15 +21,19 @@
 from ospreyline.net.upstreams import HOP_BY_HOP, MOST_BODY, MOST_HEAD, MOST_RAW
 
 IDLE = 75.0  # s that a connection may stand between requests
-SLOW = 10.0  # s that a request may take to come, or an answer to go
+SILENT = 2.0  # s that one may stand before its first byte
+SLOW = 2.3  # s that a request may take to come, or an answer to go
+FRESH = 0.02  # s after which one that has sent nothing may be closed, if there is no room
 SETTLED = 0.1  # s without a byte after which we may close an idle connection
 LINGER = 1.0  # s that a connection is read on after its last answer
-MOST_WAITING = 4  # requests read behind the one that is out, on one connection
+MOST_LINGER = 1 << 20  # bytes that are read on
 # what goes on to upstreams only as the balancer words it
 OWN_FIELDS = HOP_BY_HOP | {b"expect", b"x-expires-in"}
 OWN_PATHS = (b"/health/ready", b"/health/live")
 OWN = -1  # in place of a path prefix: answered by the balancer itself
-ONCE_FIELDS = frozenset((b"x-trace-id", b"idempotency-key", b"x-expires-in", b"content-length", b"host"))
+ONCE_FIELDS = frozenset((b"x-trace-id", b"x-qos", b"idempotency-key", b"x-expires-in", b"content-length",
+                         b"transfer-encoding", b"host"))
+ID = re.compile(rb"[!-~]{1,128}")  # of a request
 
 
 @dataclass(slots=True)
@@ -40,6 +45,7 @@
     fields: bytes  # those that go on
     body: bytes
     prefix: int  # or OWN
+    trace: bytes  # its id
     time_left: float | None
     key: int
     repeat: bool
@@ -57,7 +63,7 @@
     tagged: frozenset[int]  # those prefixes whose visits need a key
     closing: bool
 
-    def take(self, request: Request, client: Client) -> None: ...
+    def take(self, request: Request, client: Client) -> bool: ...
     def left(self, client: Client) -> None: ...
     def ready(self) -> bool: ...
 
@@ -88,10 +94,11 @@
         self.tag = -1  # what the door calls it
         self._parser = httptools.HttpRequestParser(self)
         self._waiting: deque[Request | BadRequest] = deque()
+        self._asked = False  # it has sent a whole request
+        self._left_over = 0  # bytes behind its last answer
         self._keep = True
         self._reading = False
         self._over = False
-        self._paused = False
         self._clear()
 
     def _clear(self) -> None:
@@ -105,6 +112,12 @@
         self.transport = cast(asyncio.Transport, transport)
         self.clients.open[self] = None
 
+    def spare(self) -> int:
+        """How readily it makes room: 2 last answer written, 1 has asked nothing, 0 idle, -1 not at all."""
+        if self._over and self.out is None and not self._waiting:
+            return 2
+        return -1 if not self.idle() else 0 if self._asked else 1
+
     def idle(self) -> bool:
         return self.out is None and not self._reading and not self._waiting and not self._over
 
@@ -114,7 +127,11 @@
 
     def data_received(self, data: bytes) -> None:
         if self._over or not self._keep:
-            return  # behind the last request that is answered here
+            # behind the last request that is answered here
+            self._left_over += len(data)
+            if self._left_over > MOST_LINGER:
+                self.drop()  # guards: a body of 60 MB costs the core that others wait for
+            return
         self._raw += len(data)
         try:
             self._parser.feed_data(data)
@@ -144,6 +161,10 @@
     # the parser's calls
 
     def on_message_begin(self) -> None:
+        if self.out is not None or self._waiting:
+            # guards: hundreds of requests at once. One is asked at a time; none that came together goes on
+            self._waiting.clear()
+            raise BadRequest(400)
         self._clear()
         self._reading = True
         self.since = self.clients.loop.time()
@@ -183,6 +204,7 @@
 
     def on_message_complete(self) -> None:
         self._reading = False
+        self._asked = True
         keep = self._parser.should_keep_alive()
         try:
             self._waiting.append(self._request())
@@ -190,9 +212,6 @@
             self._waiting.append(error)
         if not keep:
             self._keep = False
-        if len(self._waiting) > MOST_WAITING and self.transport is not None:
-            self._paused = True
-            self.transport.pause_reading()  # bounds what a client can make us keep
 
     def _request(self) -> Request:
         own = {}
@@ -206,15 +225,21 @@
                 dropped |= named - {b"x-trace-id", b"idempotency-key", b"host"}
         method = self._parser.get_method()
         if method == b"GET" and self._path in OWN_PATHS:
-            return Request(method, self._path, b"", b"", OWN, None, 0, False)
+            return Request(method, self._path, b"", b"", OWN, b"", None, 0, False)
+        if self._parser.get_http_version() not in ("1.0", "1.1"):
+            raise BadRequest(505)
         if not self._path.startswith(b"/"):
             raise BadRequest(400)
-        prefix = self.clients.door.prefixes.get(self._path.split(b"?", 1)[0].split(b"/", 2)[1], OWN)
+        name = self._path.split(b"?", 1)[0].split(b"/", 2)[1]
+        prefix = self.clients.door.prefixes.get(name, OWN)
         if prefix == OWN:
             raise BadRequest(404)
+        if own.get(b"x-qos", name) != name:
+            raise BadRequest(400)  # its two names of the path prefix differ
         # guards: upstreams turn away what has no id, which would count as their failure; and a repeat of a
         # tagged visit is known by its key alone
-        if not own.get(b"x-trace-id") or (
+        trace = own.get(b"x-trace-id", b"")
+        if not ID.fullmatch(trace) or (
                 prefix in self.clients.door.tagged and not own.get(b"idempotency-key")):
             raise BadRequest(400)
         left: float | None = None
@@ -223,7 +248,7 @@
                 left = 1e3 * float(text)
             except ValueError:
                 raise BadRequest(400) from None
-            if not isfinite(left):
+            if not isfinite(left) or b"_" in text:
                 raise BadRequest(400)
         key = own.get(b"x-object", b"")
         return Request(
@@ -232,6 +257,7 @@
             fields=b"".join(b"%b: %b\r\n" % f for f in self._fields if f[0].lower() not in dropped),
             body=b"".join(self._body),
             prefix=prefix,
+            trace=trace,
             time_left=left,
             key=int.from_bytes(blake2b(key, digest_size=8).digest(), "big") if key else 0,
             repeat=own.get(b"x-second-try", b"").strip() == b"1",
@@ -251,7 +277,11 @@
                 self.answer(response(status, b"", body, self._last()))
             else:
                 self.out = found
-                self.clients.door.take(found, self)
+                if not self.clients.door.take(found, self):
+                    # guards: the id of another's open request would be a second copy at an upstream, and
+                    # whoever waits for that id may get the other's answer
+                    self.out = None
+                    self.answer(response(409, b"", b"", self._last()))
 
     def _last(self) -> bool:
         """Whether the answer to come is the last on this connection."""
@@ -273,13 +303,6 @@
         transport.write(data)
         if last:
             self.finish()
-        elif len(self._waiting) <= MOST_WAITING:
-            self._resume()
-
-    def _resume(self) -> None:
-        if self._paused and self.transport is not None:
-            self._paused = False
-            self.transport.resume_reading()
 
     def finish(self) -> None:
         """No further answer: half-close and read on for a moment.
@@ -289,7 +312,6 @@
         self._over = True
         transport = self.transport
         if transport is not None and not transport.is_closing():
-            self._resume()
             transport.write_eof()
             self.clients.loop.call_later(LINGER, transport.close)
 
@@ -308,7 +330,7 @@
         """Whether it has been too long without a byte that was due."""
         if self.out is not None:
             return False
-        return now - self.since > (SLOW if self._reading or self._over else IDLE)
+        return now - self.since > (SLOW if self._reading or self._over else IDLE if self._asked else SILENT)
 
     def drop(self) -> None:
         if self.transport is not None:
@@ -325,7 +347,6 @@
         self.open: dict[Client, None] = {}
         self._coming: set[asyncio.Task[None]] = set()
         self._socket: socket.socket | None = None
-        self._paused = False
 
     def listen(self, at: tuple[str, int]) -> tuple[str, int]:
         family = socket.AF_INET6 if ":" in at[0] else socket.AF_INET
@@ -342,17 +363,14 @@
         sock = self._socket
         while sock is not None:
             if len(self.open) + len(self._coming) >= self.most_open and not self._make_room():
-                # guards: a failing accept would spin the loop; those that wait stay in the backlog
-                self.loop.remove_reader(sock)
-                self._paused = True
+                self._put_off(sock)
                 return
             try:
                 conn, _ = sock.accept()
             except (BlockingIOError, InterruptedError, ConnectionAbortedError):
                 return
             except OSError:
-                self.loop.remove_reader(sock)
-                self._paused = True
+                self._put_off(sock)
                 return
             conn.setblocking(False)
             task = self.loop.create_task(self._admit(conn))
@@ -366,23 +384,34 @@
             conn.close()
 
     def _make_room(self) -> bool:
-        idle = self._idle()
-        if not idle:
-            return False
-        client = min(idle, key=lambda c: c.since)
+        """Close the connection that is missed least: answered for good, silent so far, idle longest."""
+        # guards: the request of one that was accepted just now may wait to be read
+        now = self.loop.time()
+        spare = [(rank, c) for c in self.open if (rank := c.spare()) >= 0]
+        found = [(-rank, c.since, c) for rank, c in spare if now - c.since > (SETTLED, FRESH, SETTLED)[rank]]
+        silent = len(self._coming) + sum(rank == 1 for rank, _ in spare)
+        client = min(found, key=lambda entry: entry[:2])[2] if found else None
+        if client is None or (client.spare() == 0 and silent > self.most_open // 4):
+            return False  # guards: a flood of silent ones must not cost the usual clients theirs
         self.open.pop(client, None)
         client.drop()
         return True
 
+    def _put_off(self, sock: socket.socket) -> None:
+        """Accept again when connections have settled. Guards: a failing accept would spin the loop."""
+        self.loop.remove_reader(sock)
+        self.loop.call_later(FRESH, self._accept_again)
+
+    def _accept_again(self) -> None:
+        if self._socket is not None:
+            self.loop.add_reader(self._socket, self.accept)
+            self.accept()
+
     def tidy(self) -> None:
-        """Cut off clients that are silent for too long; accept again if that was put off."""
+        """Cut off clients that are silent for too long."""
         now = self.loop.time()
         for client in [c for c in self.open if c.overdue(now)]:
             client.drop()
-        if self._paused and self._socket is not None:
-            self._paused = False
-            self.loop.add_reader(self._socket, self.accept)
-            self.accept()
 
     def busy(self) -> bool:
         """Whether anything that was taken waits for its answer, or is on its way in or out."""
--- a/ospreyline/net/service.py
+++ b/ospreyline/net/service.py
@@ -17,8 +17,8 @@
 from ospreyline.net.clients import Clients
 from ospreyline.net.turn import Turn, clock
 
-TIDY = 0.5  # s between two rounds over idle connections and silent calls
-COUNTS = 10  # rounds between two lines of counts
+TIDY = 0.25  # s between two rounds over idle connections and silent calls
+COUNTS = 20  # rounds between two lines of counts
 KEEP_ACCEPTING = 0.5  # s after the signal to stop: new connections still come
 LAST_ANSWERS = 0.6  # s on top of the longest client timeout, then what is left is answered anyhow
 
--- a/ospreyline/net/turn.py
+++ b/ospreyline/net/turn.py
@@ -61,6 +61,7 @@
         self.tagged = frozenset(
             i for i, terms in enumerate(post.terms.prefixes) if terms.kind is Kind.TAGGED)
         self.visits: dict[int, Taken] = {}
+        self._ids: set[bytes] = set()  # of the open ones
         self.counts: Counter[str] = Counter()
         self.latencies: list[float] = []  # ms, of the visits delivered since the last line of counts
         self.lag = 0.0  # ms, the most that a timer came late since then
@@ -150,12 +151,16 @@
 
     # -- visits -------------------------------------------------------------------------------------------
 
-    def take(self, request: Request, client: Client) -> None:
-        """A whole request has come."""
+    def take(self, request: Request, client: Client) -> bool:
+        """A whole request has come; it is not taken while another visit has its id."""
+        if request.trace in self._ids:
+            return False
+        self._ids.add(request.trace)
         self._tags += 1
         taken = self.visits[self._tags] = Taken(self._tags, request, client)
         client.tag = self._tags
         self.note(self._take, taken)
+        return True
 
     def left(self, client: Client) -> None:
         """The client of a visit has gone."""
@@ -170,7 +175,7 @@
 
     def _take(self, now: float, taken: Taken) -> None:
         if taken.client is None:
-            self.visits.pop(taken.tag, None)
+            self._drop(taken)
             return
         self.counts["visits"] += 1
         taken.came = now
@@ -235,7 +240,8 @@
             self._drop(taken)
 
     def _drop(self, taken: Taken) -> None:
-        self.visits.pop(taken.tag, None)
+        if self.visits.pop(taken.tag, None) is not None:
+            self._ids.discard(taken.request.trace)
         if taken.late is not None:
             taken.late.cancel()
 
