--- a/ospreyline/decide.py
+++ b/ospreyline/decide.py
@@ -115,10 +115,9 @@
 class Upstream:
     """All that is known of one upstream."""
 
-    __slots__ = ("allowed", "cell", "cold_sends", "depth", "drawn_at", "failing", "full_at", "id",
-                 "heard_at", "latency", "level", "lowest", "lowest_before", "lowest_since", "mark", "measured_at", "out",
-                 "probed_at", "ready",
-                 "report", "report_at", "run", "samples", "sent_at", "served", "since",
+    __slots__ = ("allowed", "cell", "cold_sends", "depth", "drawn_at", "failing", "full_at", "heard_at", "id",
+                 "latency", "level", "lowest", "lowest_before", "lowest_since", "mark", "measured_at", "out",
+                 "probed_at", "ready", "report", "report_at", "run", "samples", "sent_at", "served", "since",
                  "start", "trial_at", "trial_out", "zone")
 
     def __init__(self, line: Listed, level: Level) -> None:
@@ -429,8 +428,8 @@
         else:
             if end is not End.TIMED_OUT or f.sent >= u.heard_at:
                 # guards: a stuck upstream costs a visit each time. Five failures say it where one in six fails
-                # by chance; where fewer do, fewer say as much. One that answers others is not stuck, and one
-                # pause that several visits meet is one failure: in overload most of a fleet was ejected so
+                # by chance; where fewer do, fewer say as much. One that answers others is not stuck, and one pause
+                # that several visits meet is one failure: in overload most of a fleet was ejected so
                 u.run += max(1.0, log(max(0.01, 1 - best)) / log(1 / 6))
                 u.heard_at = now
             if end is not End.UNREACHED:
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -168,3 +168,18 @@
         seen[visit.fetches[0].upstream.id] += 1
         host.end(visit, End.DELIVERED)
     assert seen.most_common(1)[0][1] > 25 and len(seen) > 2
+
+
+@pytest.mark.parametrize("overlapping", [True, False])
+def test_one_pause_that_several_visits_meet_is_one_failure(overlapping):
+    # met on days of replacements: most of a fleet stood ejected, as each time-out of a crowded moment counted
+    host = FakeHost([listed(0)])
+    host.serve(20)
+    for _ in range(1 if overlapping else 6):
+        visits = [host.take() for _ in range(6 if overlapping else 1)]
+        host.pass_time(990.0)
+        for visit in visits:
+            while visit.out:
+                host.end(visit, End.TIMED_OUT, 0.0)
+        host.pass_time(3_000.0)
+    assert host.balancer._upstreams[0].failing is not overlapping
