Spoilt answers end at the head as errored; connections settle; long-gone upstreams forgotten

Read, then measured. What cannot be read ended as RESET, which says that the process is gone and shrinks its zone's reach: now errored. A length over the limit is cut at the head (3 GB was read up to 64 KiB), a second one or a sign refused; an answer with no length counts only if its head said close; 101 and endless 1xx refused; load reports that are nan, negative or out of proportion passed over (one would have stood in all means). A second copy in a later segment would have been the next visit's answer: a connection rests 2 ms.

--- a/ospreyline/decide.py
+++ b/ospreyline/decide.py
@@ -361,6 +361,10 @@
         self._ask_at = now + self._ask_wait * (0.5 + self._random())
         self._ask_wait = min(2 * self._ask_wait, 0.25 * self._must_ask_in, 8_000.0)
 
+    def forget(self, upstream: int) -> None:
+        """One that has long gone will not be named again."""
+        self._ring.remove(self._upstreams.pop(upstream))
+
     def probed(self, now: float, upstream: int, end: End, spent: float, report: tuple[float, ...]) -> None:
         """A probe has ended."""
         u = self._upstreams[upstream]
@@ -427,9 +431,9 @@
                 u.trial_at = now + HOLD_DOWN
         else:
             if end is not End.TIMED_OUT or f.sent >= u.heard_at:
-                # guards: a stuck upstream costs a visit each time. Five failures say it where one in six fails
-                # by chance; where fewer do, fewer say as much. One that answers others is not stuck, and one pause
-                # that several visits meet is one failure: in overload most of a fleet was ejected so
+                # guards: a stuck upstream costs a visit each time. Five failures say it where one in six
+                # fails by chance; where fewer do, fewer say as much. One that answers others is not stuck,
+                # and a pause met by several visits is one failure: in overload most of a fleet was ejected
                 u.run += max(1.0, log(max(0.01, 1 - best)) / log(1 / 6))
                 u.heard_at = now
             if end is not End.UNREACHED:
--- a/ospreyline/net/clients.py
+++ b/ospreyline/net/clients.py
@@ -14,7 +14,7 @@
 from hashlib import blake2b
 from http import HTTPStatus
 from math import isfinite
-from typing import Protocol, cast
+from typing import Any, Protocol, cast
 
 import httptools
 
@@ -92,7 +92,7 @@
         self.since = clients.loop.time()  # it has been idle, or reading, or writing, since then
         self.out: Request | None = None  # the one that its client waits for
         self.tag = -1  # what the door calls it
-        self._parser = httptools.HttpRequestParser(self)
+        self._parser: Any = httptools.HttpRequestParser(self)
         self._waiting: deque[Request | BadRequest] = deque()
         self._asked = False  # it has sent a whole request
         self._left_over = 0  # bytes behind its last answer
@@ -320,6 +320,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.clients.open.pop(self, None)
+        self._parser = None  # guards: the two would wait for the collector together
         self._over = True
         self._waiting.clear()
         if self.out is not None:
--- a/ospreyline/net/service.py
+++ b/ospreyline/net/service.py
@@ -90,6 +90,7 @@
         self._tidying = self._loop.call_later(TIDY, self._tidy)
         self.clients.tidy()
         self.turn.upstreams.tidy(clock())
+        self.turn.tidy(clock())
         self.turn.discovery.tidy()
         self._rounds += 1
         if self._rounds % COUNTS == 0:
--- a/ospreyline/net/turn.py
+++ b/ospreyline/net/turn.py
@@ -25,6 +25,7 @@
 from ospreyline.net.upstreams import Answer, Cut, Errand, Upstreams, Why, end_of, load_report
 
 BACKSTOP = 15.0  # ms past its client timeout at which a visit that has no answer yet is answered anyhow
+FORGET = 60_000.0  # ms after which one that the list took away is forgotten
 PROBE_TIME_OUTS = 2.0  # a probe may take this many times as long as connecting may
 _READINESS = {"active": Readiness.READY, "leaving": Readiness.DRAINING, "left": Readiness.GONE}
 
@@ -79,6 +80,7 @@
         self._indices: dict[str, int] = {}
         self._zones = {name: i for i, name in enumerate(post.zone_names)}
         self._states: dict[str, Readiness] = {}
+        self._gone: dict[str, float] = {}  # since when, oldest first
         self._places: dict[int, tuple[int, int]] = {}  # zone and cell, by upstream
         # descriptors: some for the loop, the listener and discovery; half of the rest for each side
         part = (post.sockets - 32) // 2
@@ -298,7 +300,7 @@
         for target, at in news.targets:
             upstream = self._indices.get(target.uid)
             if upstream is None:
-                if at is None:
+                if at is None or target.state == "left":
                     continue
                 upstream = self._indices[target.uid] = self.upstreams.add(at)
             lines.append(self._line(target, upstream))
@@ -335,9 +337,23 @@
     def _note_state(self, uid: str, state: Readiness, target: Target | None) -> None:
         if self._states.get(uid) is not state:
             self._states[uid] = state
+            self._gone.pop(uid, None)
+            if state is Readiness.GONE:
+                self._gone[uid] = clock()
             self.logger.info("upstream", uid=uid, state=state.name.lower(),
                              boot_ms=target.boot_ms if target else None)
 
+    def tidy(self, now: float) -> None:
+        """Forget upstreams that are long gone. Guards: a fleet is replaced again and again, under new ids."""
+        for uid, since in list(self._gone.items()):
+            upstream = self._indices[uid]
+            # one stays: what comes to a balancer that knows none is taken for its first list
+            if now - since < FORGET or self.upstreams.peers[upstream].errands or len(self._indices) == 1:
+                return
+            self.balancer.forget(upstream)
+            del self._gone[uid], self._indices[uid], self._states[uid], self._places[upstream]
+            del self.upstreams.peers[upstream]
+
     # -- what the decisions ask for -----------------------------------------------------------------------
 
     def send(self, tag: int, upstream: int, time_out: float) -> None:
--- a/ospreyline/net/upstreams.py
+++ b/ospreyline/net/upstreams.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum, IntEnum
-from typing import cast
+from typing import Any, cast
 
 import httptools
 
@@ -20,7 +20,9 @@
 MOST_BODY = 65_536
 MOST_HEAD = 32_768
 MOST_RAW = MOST_HEAD + 8 * MOST_BODY  # one message as sent: small chunks cost several times their content
+SETTLE = 2.0  # ms after an answer in which what came behind it, or its connection's end, shows
 KEEP_SHARE = 0.8  # of the time that an upstream keeps an idle connection: ours are closed earlier
+MOST_UTIL, MOST_FIGURE = 4.0, 1e5  # of a load report
 HOP_BY_HOP = frozenset((
     b"connection", b"keep-alive", b"proxy-connection", b"proxy-authenticate", b"proxy-authorization", b"te",
     b"trailer", b"transfer-encoding", b"upgrade", b"content-length"))
@@ -73,6 +75,8 @@
         return End.FULL if outcome.status in (503, 504) and outcome.never_ran else End.ERRORED
     if outcome.why is Why.CALLED_OFF:
         return End.CANCELLED
+    if outcome.why is Why.MALFORMED:
+        return End.ERRORED  # its process is there, it may have run
     if outcome.stage <= Stage.WRITING:  # the upstream cannot have had it whole
         return End.UNSENT if outcome.why is Why.WITHDRAWN else End.UNREACHED
     return End.TIMED_OUT if outcome.why is Why.TIMED_OUT else End.RESET
@@ -90,10 +94,10 @@
             found[REPORT_WORDS.get(name, name)] = float(value)
         except ValueError:
             continue
-    try:
+    # guards: one figure that is no number, or out of all proportion, would stand in every mean
+    if all(0 <= found.get(f, -1) <= (MOST_UTIL if f == "util" else MOST_FIGURE) for f in fields):
         return tuple(found[f] for f in fields)
-    except KeyError:
-        return ()
+    return ()
 
 
 class Errand:
@@ -145,15 +149,16 @@
         self.errand: Errand | None = None
         self.transport: asyncio.Transport | None = None
         self.used = 0.0  # when its last whole answer came
-        self._parser = httptools.HttpResponseParser(self)
+        self._parser: Any = httptools.HttpResponseParser(self)
+        self._raw = 0
         self._begin()
 
     def _begin(self) -> None:
         self._fields: list[bytes] = []
         self._body: list[bytes] = []
-        self._raw = self._size = 0
-        self._head_done = self._framed = self._never_ran = self._keep = False
-        self._report = b""
+        self._size = 0
+        self._head_done = self._framed = self._ends_with_it = self._never_ran = self._keep = False
+        self._report = self._connection = b""
         self._answer: Answer | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -212,6 +217,7 @@
         assert answer is not None
         self.errand = errand.conn = None
         if keep:
+            self._raw = 0
             self._begin()
             self.peer.rest(self)
         else:
@@ -219,12 +225,13 @@
         errand.end(answer)
 
     def eof_received(self) -> bool:
-        if self.errand is not None and self._head_done and not self._framed:
+        if self.errand is not None and self._ends_with_it:
             self.on_message_complete()  # an answer without a length lasts until the end
             self._finish(self.errand, keep=False)
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
+        self._parser = None  # guards: the two would wait for the collector together
         self.peer.forget(self)
         if self.errand is not None:
             self.errand.cut(Why.BROKEN)
@@ -242,16 +249,23 @@
         known = name.lower()
         if known in (b"content-length", b"transfer-encoding"):
             self._framed = True
+            if known == b"content-length" and not (value.isdigit() and int(value) <= MOST_BODY) \
+                    and not (self.errand and self.errand.head_only):
+                raise ValueError("no length that could be kept")  # guards: 3 GB would be read up to the limit
         elif known == b"endpoint-load-metrics":
             self._report = value
         elif known == b"x-never-ran":
             self._never_ran = value.strip() == b"1"
+        elif known == b"connection":
+            self._connection = value.lower()
         elif known not in HOP_BY_HOP:
             self._fields.append(b"%b: %b\r\n" % (name, value))
 
     def on_headers_complete(self) -> None:
         self._head_done = True
         status = self._parser.get_status_code()
+        # guards: a head that lost its length would make half an answer a whole one when its connection breaks
+        self._ends_with_it = status >= 200 and not self._framed and b"close" in self._connection
         if self.errand is not None and self.errand.head_only and status >= 200:
             self.on_message_complete()
 
@@ -266,6 +280,8 @@
             return
         status = self._parser.get_status_code()
         if status < 200:
+            if status == 101:
+                raise ValueError("no other protocol was asked for")
             self._begin()  # an interim answer
             return
         self._keep = self._parser.should_keep_alive()  # known only until this returns
@@ -292,8 +308,10 @@
         if self.withdrawn:
             errand.cut(Why.WITHDRAWN)
             return
-        while self.idle:
-            conn = self.idle.pop()
+        for conn in reversed(self.idle):
+            if now - conn.used < SETTLE:
+                continue  # guards: a second answer behind the last one would be taken for this one's
+            self.idle.remove(conn)
             if conn.transport is not None and not conn.transport.is_closing() \
                     and now - conn.used < self.pool.keep_idle:
                 conn.start(errand, now)
@@ -369,12 +387,14 @@
         self.most_open = most_open
         self.connect_time_out = connect_time_out
         self.keep_idle = KEEP_SHARE * keep_idle
-        self.peers: list[Peer] = []
+        self.peers: dict[int, Peer] = {}
+        self._added = -1
         self.open: dict[Conn, None] = {}
 
     def add(self, at: tuple[str, int]) -> int:
-        self.peers.append(Peer(self, at))
-        return len(self.peers) - 1
+        self._added += 1  # never given out again: a late word of one that is forgotten must not meet another
+        self.peers[self._added] = Peer(self, at)
+        return self._added
 
     def listed(self, upstream: int, at: tuple[str, int], started: float, ready: bool) -> None:
         """What the list says of one now."""
@@ -388,7 +408,7 @@
     def has_room(self) -> bool:
         """Room for one more connection; at the limit the one that was idle longest makes it."""
         if len(self.open) >= self.most_open:
-            idle = [peer.idle[0] for peer in self.peers if peer.idle]
+            idle = [peer.idle[0] for peer in self.peers.values() if peer.idle]
             if not idle:
                 return False
             min(idle, key=lambda conn: conn.used).close()
@@ -396,7 +416,7 @@
 
     def tidy(self, now: float) -> None:
         """Close what has been idle for long, before the other side does."""
-        for peer in self.peers:
+        for peer in self.peers.values():
             peer.drop_idle(now - self.keep_idle)
 
     def close(self) -> None:
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -22,7 +22,7 @@
 from ospreyline.__main__ import main
 from ospreyline.net import discovery
 from ospreyline.net import service as service_module
-from ospreyline.net.turn import clock
+from ospreyline.net.turn import FORGET, clock
 
 
 async def status_of(service, path="/health/ready"):
@@ -211,6 +211,27 @@
     play(story)
 
 
+def test_upstreams_that_are_long_gone_are_forgotten():
+    async def story():
+        # a fleet that is replaced all day under new ids; one of them at the address of one that has gone
+        registry, peer = Registry(), Peer()
+        async with running(peer, registry=registry, known=[]) as service:
+            client, turn = await caller(service), service.turn
+            for n in range(20):
+                old = [target(f"s{n - 1}", peer.port, state="left")] if n else []
+                await registry.tell(n + 4, target(f"s{n}", peer.port), *old)
+                while f"s{n}" not in turn._indices:
+                    await asyncio.sleep(0)
+                while (await client.ask(request()))[0] != 200:
+                    pass
+                await peer.until(lambda: peer.open == 1)  # no connection carries over
+                turn.tidy(clock() + FORGET + 1)
+            assert len(turn._indices) == len(turn._states) == len(turn._places) == len(turn.upstreams.peers)
+            assert len(turn._indices) == len(turn.balancer._upstreams) == len(turn.balancer._ring) <= 2
+
+    play(story)
+
+
 def moved(service, registry, **changes):
     """Reload a file that names another discovery."""
     told = configuration([], registry.port) | changes
