Fetches that errored or broke are repeated in overload, too

Ruled out: the front (no visit left out, connections closed and reopened), patience (idle latency counted whole: low gain up, high gain down, nothing on the whole). Now only a time-out is not repeated then; what errored or broke is no load and goes again if there is room for its value.

--- a/ospreyline/decide.py
+++ b/ospreyline/decide.py
@@ -703,7 +703,9 @@
                 if not self._place(visit, now):
                     self._hold(visit, now)
                 return
-            if not self._overload(now) and now < visit.target_at and self._place(visit, now):
+            # guards: repeats of what was slow feed an overload; an answer that came spoilt or broke is no load
+            again = visit.fetches[-1].end is not End.TIMED_OUT or not self._overload(now)
+            if again and now < visit.target_at and self._place(visit, now):
                 return
         self._give_up(visit, now)
 
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -183,3 +183,14 @@
                 host.end(visit, End.TIMED_OUT, 0.0)
         host.pass_time(3_000.0)
     assert host.balancer._upstreams[0].failing is not overlapping
+
+
+@pytest.mark.parametrize(("end", "fetches"), [(End.ERRORED, 2), (End.RESET, 2), (End.TIMED_OUT, 1)])
+def test_in_overload_what_came_spoilt_is_repeated_and_what_was_slow_is_not(end, fetches):
+    # met on days of spoilt answers at three quarters of the load, where room is always short somewhere
+    host = FakeHost([listed(0), listed(1)])
+    host.serve(20)
+    visit = host.take()
+    host.balancer._short_at = host.now
+    host.end(visit, end)
+    assert len(visit.fetches) == fetches and host.answers(visit) == (fetches == 1)
