Clients that ask once and stay make room from half of their connections on

The cause showed in counts by half seconds: visits fell when connections rose from 32 to 150, nothing refused by us. The counts tell what is accepted, refused at the door, cut and closed for room.

--- a/ospreyline/net/clients.py
+++ b/ospreyline/net/clients.py
@@ -9,7 +9,7 @@
 import asyncio
 import re
 import socket
-from collections import deque
+from collections import Counter, deque
 from dataclasses import dataclass
 from hashlib import blake2b
 from http import HTTPStatus
@@ -62,6 +62,7 @@
     prefixes: dict[bytes, int]
     tagged: frozenset[int]  # those prefixes whose visits need a key
     closing: bool
+    counts: Counter[str]
 
     def take(self, request: Request, client: Client) -> bool: ...
     def left(self, client: Client) -> None: ...
@@ -270,6 +271,7 @@
         while self.out is None and self._waiting:
             found = self._waiting.popleft()
             if isinstance(found, BadRequest):
+                self.clients.door.counts[f"door_{found.status}"] += 1
                 self.answer(response(found.status, b"", b"", self._last()))
             elif found.prefix == OWN:
                 ok = found.path != b"/health/ready" or self.clients.door.ready()
@@ -281,6 +283,7 @@
                     # guards: the id of another's open request would be a second copy at an upstream, and
                     # whoever waits for that id may get the other's answer
                     self.out = None
+                    self.clients.door.counts["door_409"] += 1
                     self.answer(response(409, b"", b"", self._last()))
 
     def _last(self) -> bool:
@@ -363,7 +366,11 @@
         """Accept all that waits, as far as descriptors allow; the longest idle connection makes room."""
         sock = self._socket
         while sock is not None:
-            if len(self.open) + len(self._coming) >= self.most_open and not self._make_room():
+            here = len(self.open) + len(self._coming)
+            # guards: those that ask once and stay, or say nothing, hold what clients may open at all, and the
+            # usual ones are kept out long before our own limit; so half of it is where room is made
+            if here >= self.most_open // 2 and not self._make_room(SETTLED) \
+                    and here >= self.most_open and not self._make_room(FRESH):
                 self._put_off(sock)
                 return
             try:
@@ -374,6 +381,7 @@
                 self._put_off(sock)
                 return
             conn.setblocking(False)
+            self.door.counts["accepted"] += 1
             task = self.loop.create_task(self._admit(conn))
             self._coming.add(task)
             task.add_done_callback(self._coming.discard)
@@ -384,16 +392,18 @@
         except OSError:
             conn.close()
 
-    def _make_room(self) -> bool:
+    def _make_room(self, silent_for: float) -> bool:
         """Close the connection that is missed least: answered for good, silent so far, idle longest."""
         # guards: the request of one that was accepted just now may wait to be read
         now = self.loop.time()
         spare = [(rank, c) for c in self.open if (rank := c.spare()) >= 0]
-        found = [(-rank, c.since, c) for rank, c in spare if now - c.since > (SETTLED, FRESH, SETTLED)[rank]]
+        found = [(-rank, c.since, c) for rank, c in spare
+                 if now - c.since > (silent_for if rank == 1 else SETTLED)]
         silent = len(self._coming) + sum(rank == 1 for rank, _ in spare)
         client = min(found, key=lambda entry: entry[:2])[2] if found else None
         if client is None or (client.spare() == 0 and silent > self.most_open // 4):
             return False  # guards: a flood of silent ones must not cost the usual clients theirs
+        self.door.counts["made_room"] += 1
         self.open.pop(client, None)
         client.drop()
         return True
@@ -412,7 +422,10 @@
         """Cut off clients that are silent for too long."""
         now = self.loop.time()
         for client in [c for c in self.open if c.overdue(now)]:
+            self.door.counts["cut_slow"] += 1
             client.drop()
+        while len(self.open) > self.most_open // 2 and self._make_room(SETTLED):
+            pass
 
     def busy(self) -> bool:
         """Whether anything that was taken waits for its answer, or is on its way in or out."""
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -244,6 +244,25 @@
     play(story)
 
 
+def test_clients_that_ask_once_and_stay_make_room_well_before_the_limit(monkeypatch):
+    async def story():
+        # met in an incident: they held all that clients may open, and two thirds of the visits never came
+        monkeypatch.setattr(clients, "SETTLED", 0.0)
+        peer = Peer(SILENT, ok())
+        async with running(peer, sockets=64) as service:
+            busy = await caller(service)
+            busy.writer.write(request())
+            await peer.until(lambda: bool(peer.requests))
+            for _ in range(2 * service.turn.most_clients):
+                assert (await (await caller(service)).ask(request()))[0] == 200
+            service.clients.tidy()
+            assert len(service.clients.open) <= service.turn.most_clients // 2
+            peer.writers[0].write(ok(b"still there"))
+            assert (await busy.answer())[2] == b"still there"
+
+    play(story)
+
+
 def test_at_the_limit_busy_clients_keep_theirs_and_the_rest_waits():
     async def story():
         peer = Peer(SILENT)
