--- a/ospreyline/facts.py
+++ b/ospreyline/facts.py
@@ -22,6 +22,7 @@
 
 class _Limits(msgspec.Struct):
     sockets: int = 1024
+    memory_mb: float = 192.0
 
 
 class _File(msgspec.Struct):
@@ -137,6 +138,7 @@
     discovery: tuple[str, int]
     seed: int
     sockets: int  # descriptors, all together
+    memory: int  # bytes, all together
     known: bytes  # the list as it was last had, in discovery's form
     terms: Deployment
     prefix_names: tuple[str, ...]
@@ -150,7 +152,7 @@
         `seed` and `known` are for a start alone, so they are not compared.
         """
         groups = {
-            "name": ("name",), "listen": ("listen",), "limits": ("sockets",),
+            "name": ("name",), "listen": ("listen",), "limits": ("sockets", "memory"),
             "settings": ("terms", "prefix_names", "zone_names", "connect_time_out", "keep_idle")}
         return [key for key, fields in groups.items()
                 if any(getattr(self, f) != getattr(new, f) for f in fields)]
@@ -184,6 +186,8 @@
     sockets = file.limits.sockets
     if sockets < 64:
         raise FactError(f"limits.sockets: {sockets} is too few, 64 are needed")
+    if not 16 <= file.limits.memory_mb < 1e6:
+        raise FactError(f"limits.memory_mb: {file.limits.memory_mb:g} is not between 16 and 1000000")
     try:
         seed = file.seed if isinstance(file.seed, int) else int(file.seed, 16)
     except ValueError:
@@ -198,6 +202,7 @@
         discovery=_address("discovery", env.get("PROXY_DISCOVERY") or file.discovery),
         seed=seed,
         sockets=sockets,
+        memory=int(file.limits.memory_mb * (1 << 20)),
         known=bytes(file.known),
         terms=_deployment(facts),
         prefix_names=names,
--- a/ospreyline/net/turn.py
+++ b/ospreyline/net/turn.py
@@ -85,7 +85,8 @@
         # descriptors: some for the loop, the listener and discovery; half of the rest for each side
         part = (post.sockets - 32) // 2
         self.most_clients = part
-        self.upstreams = Upstreams(loop, clock, part, post.connect_time_out, post.keep_idle)
+        self.upstreams = Upstreams(loop, clock, part, post.connect_time_out, post.keep_idle,
+                                   post.memory // 8)
         self._reports = post.terms.report_fields
         known = discovery.read(post.known, self.logger)
         self.discovery = Discovery(loop, post.discovery, known.rev if known else 0, self.logger,
--- a/ospreyline/net/upstreams.py
+++ b/ospreyline/net/upstreams.py
@@ -19,6 +19,7 @@
 
 MOST_BODY = 65_536
 MOST_HEAD = 32_768
+MOST_ANSWER = 1 << 20  # bytes of an answer's body; small answers go by far less than all that may be held
 MOST_RAW = MOST_HEAD + 8 * MOST_BODY  # one message as sent: small chunks cost several times their content
 SETTLE = 2.0  # ms after an answer in which what came behind it, or its connection's end, shows
 KEEP_SHARE = 0.8  # of the time that an upstream keeps an idle connection: ours are closed earlier
@@ -150,10 +151,11 @@
         self.transport: asyncio.Transport | None = None
         self.used = 0.0  # when its last whole answer came
         self._parser: Any = httptools.HttpResponseParser(self)
-        self._raw = 0
+        self._raw = self._size = 0
         self._begin()
 
     def _begin(self) -> None:
+        self.peer.pool.held -= self._size
         self._fields: list[bytes] = []
         self._body: list[bytes] = []
         self._size = 0
@@ -197,7 +199,7 @@
             return
         errand.stage = Stage.ANSWERING
         self._raw += len(data)
-        if self._raw > MOST_RAW:
+        if self._raw > (8 * MOST_ANSWER if self._head_done else MOST_RAW):
             errand.cut(Why.MALFORMED)
             return
         try:
@@ -231,6 +233,8 @@
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
+        self.peer.pool.held -= self._size
+        self._size = 0
         self._parser = None  # guards: the two would wait for the collector together
         self.peer.forget(self)
         if self.errand is not None:
@@ -249,7 +253,7 @@
         known = name.lower()
         if known in (b"content-length", b"transfer-encoding"):
             self._framed = True
-            if known == b"content-length" and not (value.isdigit() and int(value) <= MOST_BODY) \
+            if known == b"content-length" and not (value.isdigit() and int(value) <= MOST_ANSWER) \
                     and not (self.errand and self.errand.head_only):
                 raise ValueError("no length that could be kept")  # guards: 3 GB would be read up to the limit
         elif known == b"endpoint-load-metrics":
@@ -271,7 +275,9 @@
 
     def on_body(self, body: bytes) -> None:
         self._size += len(body)
-        if self._size > MOST_BODY:
+        pool = self.peer.pool
+        pool.held += len(body)
+        if self._size > MOST_ANSWER or pool.held > pool.most_held:
             raise ValueError("body too large")  # stops the parser
         self._body.append(body)
 
@@ -381,10 +387,12 @@
     """All upstreams, by the small index that the front gave them, and the descriptors they may use."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, clock: Callable[[], float], most_open: int,
-                 connect_time_out: float, keep_idle: float) -> None:
+                 connect_time_out: float, keep_idle: float, most_held: int) -> None:
         self.loop = loop
         self.clock = clock
         self.most_open = most_open
+        self.most_held = most_held
+        self.held = 0  # bytes of answers that are not yet whole
         self.connect_time_out = connect_time_out
         self.keep_idle = KEEP_SHARE * keep_idle
         self.peers: dict[int, Peer] = {}
