An answer that is still going out is not cut to make room for other clients

Read, not met: since answers may have 1 MiB and room is made from half of the connections on, one whose answer lay unsent in our buffer for 0.1 s counted as idle (Client.spare) and was aborted, which loses the visit.

--- a/ospreyline/net/clients.py
+++ b/ospreyline/net/clients.py
@@ -115,6 +115,8 @@
 
     def spare(self) -> int:
         """How readily it makes room: 2 last answer written, 1 has asked nothing, 0 idle, -1 not at all."""
+        if self.transport is not None and self.transport.get_write_buffer_size():
+            return -1  # guards: an answer that its client is still reading would be cut short
         if self._over and self.out is None and not self._waiting:
             return 2
         return -1 if not self.idle() else 0 if self._asked else 1
--- a/ospreyline/net/upstreams.py
+++ b/ospreyline/net/upstreams.py
@@ -19,7 +19,7 @@
 
 MOST_BODY = 65_536
 MOST_HEAD = 32_768
-MOST_ANSWER = 1 << 20  # bytes of an answer's body; small answers go by far less than all that may be held
+MOST_ANSWER = 1 << 20  # bytes of an answer's body
 MOST_RAW = MOST_HEAD + 8 * MOST_BODY  # one message as sent: small chunks cost several times their content
 SETTLE = 2.0  # ms after an answer in which what came behind it, or its connection's end, shows
 KEEP_SHARE = 0.8  # of the time that an upstream keeps an idle connection: ours are closed earlier
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -263,6 +263,26 @@
     play(story)
 
 
+def test_an_answer_that_is_still_going_out_is_not_cut_to_make_room(monkeypatch):
+    async def story():
+        async with running(Peer()) as service:
+            assert (await (await caller(service)).ask(request()))[0] == 200
+            (client,) = service.clients.open
+            assert client.spare() == 0
+
+            class Sending:
+                def get_write_buffer_size(self):
+                    return 1
+
+                def abort(self):
+                    pass
+
+            monkeypatch.setattr(client, "transport", Sending())
+            assert client.spare() == -1
+
+    play(story)
+
+
 def test_at_the_limit_busy_clients_keep_theirs_and_the_rest_waits(monkeypatch):
     async def story():
         for name in ("FRESH", "SETTLED"):  # none is taken for silent, however slow the machine
