--- a/ospreyline/__main__.py
+++ b/ospreyline/__main__.py
@@ -5,6 +5,7 @@
 import os
 import signal
 import sys
+from importlib import import_module
 from pathlib import Path
 
 import click
@@ -24,7 +25,29 @@
         sys.exit(2)
 
 
-@click.group()
+# name: module and command
+FURTHER = {"lab": ("ospreyline.lab.command", "lab"), "regression": ("ospreyline.regression", "command")}
+
+
+class Groups(click.Group):
+    """Further commands are imported when they are called, so that `serve` pays for none of them."""
+
+    def list_commands(self, ctx: click.Context) -> list[str]:
+        return sorted([*super().list_commands(ctx), *FURTHER])
+
+    def get_command(self, ctx: click.Context, name: str) -> click.Command | None:
+        if name not in FURTHER:
+            return super().get_command(ctx, name)
+        module, call = FURTHER[name]
+        try:
+            command: click.Command = getattr(import_module(module), call)
+        except ModuleNotFoundError as error:
+            raise click.ClickException(
+                f"{name} needs {error.name}: pip install -r requirements-lab.txt") from error
+        return command
+
+
+@click.group(cls=Groups)
 def main() -> None:
     """An HTTP load balancer, run as a bank of proxies that share nothing."""
 
--- /dev/null
+++ b/ospreyline/lab/command.py
@@ -0,0 +1,283 @@
+"""`ospreyline lab`: the laboratory on the command line."""
+
+from __future__ import annotations
+
+import os
+import sys
+from collections.abc import Callable
+from functools import wraps
+from pathlib import Path
+from time import perf_counter
+from typing import Any
+
+import click
+
+from ospreyline.lab import scenario as scenarios
+from ospreyline.lab.arms import HELP
+from ospreyline.lab.records import RecordError
+from ospreyline.lab.scenario import Scenario, ScenarioError
+
+FOLDER = click.Path(file_okay=False, path_type=Path)
+ARM = click.option("--arm", "arms", multiple=True, help=f"What is played: {HELP}. Default: ours.")
+SET = click.option(
+    "--set",
+    "settings",
+    multiple=True,
+    metavar="KEY=VALUE",
+    help="A key of the scenario by its dotted path, such as bank.count=30.",
+)
+
+
+def _told(call: Callable[..., None]) -> Callable[..., None]:
+    """What is wrong with the input comes out as one line, and status 2."""
+
+    @wraps(call)
+    def wrapped(*args: Any, **kwargs: Any) -> None:
+        try:
+            call(*args, **kwargs)
+        except (ScenarioError, RecordError) as error:
+            click.echo(f"ospreyline: {error}", err=True)
+            sys.exit(2)
+
+    return wrapped
+
+
+def _loaded(name: str, settings: tuple[str, ...]) -> Scenario:
+    from ospreyline.lab.sweep import parse_setting
+
+    changes = {}
+    for text in settings:
+        path, values = parse_setting(text)
+        if len(values) != 1:
+            raise ScenarioError(f"{text}: one value is wanted here; `lab sweep` takes several")
+        changes[path] = values[0]
+    return scenarios.change(scenarios.load(name), changes)
+
+
+def _line(summary: dict[str, Any]) -> str:
+    broken = {rule: n for rule, n in summary["breaches"].items() if n}
+    return (
+        f"{summary['arm']}, seed {summary['seed']}: gain {summary['gain']:.4f}, less crossing "
+        f"{summary['net_gain']:.4f}, worst 10 s {summary['worst']:.3f}; of {summary['wanted']} first tries "
+        f"{summary['in_time']:.1%} in time; p50 {summary['p50']:.1f} ms, p99 {summary['p99']:.1f} ms; "
+        + (f"rules BROKEN: {broken}" if broken else "rules kept")
+    )
+
+
+@click.group()
+def lab() -> None:
+    """Try designs on a model of fleets in simulated time."""
+
+
+@lab.command(name="list")
+@_told
+def list_them() -> None:
+    """Name the scenarios that come with it."""
+    for name, text in scenarios.shipped().items():
+        found = scenarios.parse(text)
+        servers = sum(group.count for group in found.servers)
+        click.echo(
+            f"{name:20} {found.bank.count:5} balancers {servers:4} servers {found.rate():7.0f} visits/s  "
+            f"{found.about}"
+        )
+
+
+@lab.command()
+@click.argument("scenario")
+@SET
+@_told
+def show(scenario: str, settings: tuple[str, ...]) -> None:
+    """Print SCENARIO as it is in force, every key, as JSON."""
+    import msgspec
+
+    found = _loaded(scenario, settings)
+    click.echo(msgspec.json.format(msgspec.json.encode(found)).decode())
+
+
+@lab.command()
+@click.argument("scenario", default="quiet")
+@click.option("--seed", default=1, show_default=True, help="Of all chance.")
+@ARM
+@SET
+@click.option("--out", type=FOLDER, help="Folder for the records; without it only the summary is printed.")
+@click.option(
+    "--visits",
+    type=click.Choice(["none", "odd", "all"]),
+    default="none",
+    show_default=True,
+    help="Which visits are kept one by one; odd: those whose client was not served in time.",
+)
+@_told
+def run(
+    scenario: str, seed: int, arms: tuple[str, ...], settings: tuple[str, ...], out: Path | None, visits: str
+) -> None:
+    """Play one day of SCENARIO, a file or the name of a shipped one."""
+    from ospreyline.lab.run import play
+
+    found = _loaded(scenario, settings)
+    names = arms or ("ours",)
+    for arm in names:
+        folder = out / arm.replace("/", "_").replace(":", "_") if out and len(names) > 1 else out
+        begun = perf_counter()
+        summary = play(found, seed, arm, folder, visits)
+        click.echo(f"{_line(summary)}; {perf_counter() - begun:.1f} s")
+        if folder:
+            click.echo(f"records in {folder}")
+
+
+@lab.command()
+@click.argument("scenario")
+@click.option("--out", type=FOLDER, required=True, help="Folder; the same call goes on where it was.")
+@click.option("--seeds", default=5, show_default=True, help="How many, from 1 on.")
+@ARM
+@click.option("--grid", "grids", multiple=True, metavar="KEY=V,V", help="A key and the values that it takes.")
+@SET
+@click.option("--jobs", default=0, help="Processes; 0: one a core.")
+@_told
+def sweep(
+    scenario: str,
+    out: Path,
+    seeds: int,
+    arms: tuple[str, ...],
+    grids: tuple[str, ...],
+    settings: tuple[str, ...],
+    jobs: int,
+) -> None:
+    """Play SCENARIO over a grid of keys, seeds and arms. Ctrl-C loses nothing: call it again."""
+    from ospreyline.lab import sweep as sweeps
+
+    base = _loaded(scenario, settings)
+    cells = sweeps.grid(
+        dict(sweeps.parse_setting(text) for text in grids), range(1, seeds + 1), arms or ("ours",)
+    )
+    sweeps.check(base, cells)
+    with click.progressbar(length=len(cells), label="runs", file=sys.stderr) as bar:
+
+        def progress(done: int, total: int) -> None:
+            bar.update(done - bar.pos)
+
+        try:
+            rows = sweeps.run(base, cells, out, jobs or os.cpu_count() or 1, progress)
+        except KeyboardInterrupt:
+            click.echo(f"\nstopped; what is done stands in {out}, the same call goes on from there", err=True)
+            sys.exit(130)
+    for settings_of, group in sweeps.by_settings(rows):
+        if settings_of:
+            click.echo(", ".join(f"{key} = {value}" for key, value in settings_of.items()))
+        for arm in dict.fromkeys(row["arm"] for row in group):
+            mine = [row["summary"] for row in group if row["arm"] == arm]
+            broken = sum(sum(summary["breaches"].values()) for summary in mine)
+            click.echo(
+                f"  {arm:24} net gain {sum(s['net_gain'] for s in mine) / len(mine):.4f} "
+                f"({min(s['net_gain'] for s in mine):.3f} to {max(s['net_gain'] for s in mine):.3f}), "
+                f"{len(mine)} seeds, {broken} breaches"
+            )
+
+
+@lab.command()
+@click.argument("a")
+@click.argument("b")
+@click.option("--in", "folder", type=FOLDER, help="A sweep whose arms A and B are; else they are folders.")
+@click.option(
+    "--figure",
+    "figures",
+    multiple=True,
+    default=("net_gain",),
+    show_default=True,
+    help="Of the summary, by dotted path.",
+)
+@_told
+def compare(a: str, b: str, folder: Path | None, figures: tuple[str, ...]) -> None:
+    """Hold B against A, paired by settings and seed."""
+    from ospreyline.lab import compare as comparing
+    from ospreyline.lab.sweep import read
+
+    if folder:
+        rows = read(folder)
+        first, second = ([row for row in rows if row["arm"] == arm] for arm in (a, b))
+        for arm, found in ((a, first), (b, second)):
+            if not found:
+                raise RecordError(
+                    f"{folder}: no arm {arm!r}, it has {', '.join(sorted({r['arm'] for r in rows}))}"
+                )
+    else:
+        first, second = read(Path(a)), read(Path(b))
+    for name in figures:
+        try:
+            click.echo(comparing.paired(first, second, name).sentence(a, b))
+        except KeyError as error:
+            raise RecordError(f"no figure {error.args[0]!r} in the summaries") from error
+
+
+@lab.command()
+@click.argument("folder", type=FOLDER)
+@click.option(
+    "--figure",
+    "figures",
+    multiple=True,
+    default=("net_gain",),
+    show_default=True,
+    help="Of the summary, for a sweep.",
+)
+@_told
+def plot(folder: Path, figures: tuple[str, ...]) -> None:
+    """Draw a run or a sweep: PNG files and one page, index.html."""
+    from ospreyline.lab.plot import plot as draw
+
+    for path in draw(folder, figures):
+        click.echo(str(path))
+
+
+@lab.command()
+@click.argument("folder", type=FOLDER)
+@click.argument("visit", type=int)
+@_told
+def explain(folder: Path, visit: int) -> None:
+    """Tell the life of one visit of a run that kept its visits."""
+    from ospreyline.lab.explain import explain as tell
+
+    click.echo(tell(folder, visit))
+
+
+@lab.command()
+@click.option("--visits", default=200_000, show_default=True, help="For each case.")
+@click.option("--seed", default=1, show_default=True)
+@_told
+def theory(visits: int, seed: int) -> None:
+    """Hold the model of a server against queueing theory; status 1 if one case does not agree."""
+    from ospreyline.lab import theory as theories
+
+    if visits < 40 * theories.BATCHES:
+        raise ScenarioError(f"--visits: {visits} is too few for {theories.BATCHES} batches")
+    click.echo(f"{'case':58} {'theory':>9} {'model':>9} {'error':>8} {'95% +-':>8}")
+    well = True
+    verdicts = [theories.judge(case, visits, seed) for case in theories.CASES]
+    verdicts += [theories.little(case, visits // 4, seed) for case in theories.CASES[:3]]
+    for v in verdicts:
+        well = well and v.holds
+        click.echo(
+            f"{v.name:58} {v.theory:9.4f} {v.model:9.4f} {v.error:+8.2%} {v.half_width:8.4f}"
+            + ("" if v.holds else "  DOES NOT AGREE")
+        )
+    sys.exit(0 if well else 1)
+
+
+@lab.command()
+@click.argument("scenario", default="large")
+@click.option("--sizes", default="3,10,30,100,300,1000", show_default=True, help="Of the bank.")
+@click.option("--profile", is_flag=True, help="One run as it is, with the time of each function.")
+@SET
+@_told
+def bench(scenario: str, sizes: str, profile: bool, settings: tuple[str, ...]) -> None:
+    """Measure how fast the model runs, by the size of the bank."""
+    from ospreyline.lab import speed
+
+    found = _loaded(scenario, settings)
+    if profile:
+        click.echo(speed.profile(found))
+        return
+    if not all(word.isdigit() and int(word) for word in sizes.split(",")):
+        raise ScenarioError(f"--sizes: {sizes!r} are no whole numbers")
+    click.echo(speed.HEADER)
+    for word in sizes.split(","):
+        click.echo(speed.measure(found, int(word)).line())
--- /dev/null
+++ b/ospreyline/lab/scenario.py
@@ -0,0 +1,486 @@
+"""Scenarios: what is modelled, read from TOML, checked, and with defaults, in one place.
+
+A `Scenario` is the file as it is in force; `load` reads one, `change` sets one key by its dotted path
+(for sweeps). A number written as `[low, high]` is drawn from that range for each run. Errors are
+`ScenarioError`, one line that names the key and the nearest known one.
+"""
+
+from __future__ import annotations
+
+import re
+import tomllib
+from collections.abc import Iterator, Mapping
+from difflib import get_close_matches
+from importlib import resources
+from pathlib import Path
+from typing import Any, Literal
+
+import msgspec
+
+from ospreyline.host import Kind, Scope
+
+Span = float | tuple[float, float]  # a value, or the range it is drawn from
+
+
+class ScenarioError(ValueError):
+    """A scenario, or what was asked of one, cannot be used; one line that names the key."""
+
+
+class _Part(msgspec.Struct, forbid_unknown_fields=True, omit_defaults=False):
+    """A table of the file; an unknown key is an error."""
+
+
+class Day(_Part):
+    seconds: float = 60.0
+    settle: float = 0.0  # s at the start that no figure counts
+    window: float = 1.0  # s of one row of the records over time
+
+
+class Bank(_Part):
+    """The balancers."""
+
+    count: int = 3
+    skew: float = 0.0  # coefficient of variation of what each gets within its zone
+    turn_us: float = 0.0  # core time a visit or end of a fetch costs; 0: none
+    cores: float = 1.0  # of a core, for that
+    ready_ms: float = 300.0  # from a start until it is ready
+    notice_ms: tuple[float, float] = (1_000.0, 4_000.0)  # until the front in front of it sees it dead
+    known_age_ms: float = 0.0  # how old the list is that one starts from
+    copies: bool = False  # second copies of a visit are allowed
+    max_fetches: int = 3
+
+
+class Zones(_Part):
+    names: list[str] = msgspec.field(default_factory=lambda: ["a"])
+    traffic: list[float] = []  # weights, even where left out
+
+
+class Crowd(_Part):
+    """Servers that turn slow when they hold too much, and stay so until they have rested."""
+
+    at: float = 0.0  # times the root of the cores, over the cores, held on the mean; 0: never
+    over_ms: float = 2_000.0  # that the mean is taken over
+    slower: Span = 2.5
+    below: float = 0.35  # share of the cores in use under which it rests
+    rest_ms: float = 3_000.0
+    most_ms: float = 25_000.0
+
+
+class Memory(_Part):
+    """Keys that a server met of late cost it less."""
+
+    gain: float = 0.0  # share of the work saved; 0: none
+    for_ms: float = 5_000.0
+    keys_per_core: int = 100
+
+
+class Group(_Part):
+    """Servers of one make."""
+
+    count: int = 6
+    zone: str = ""  # empty: spread evenly over all
+    cores: int = 4
+    speed: Span = 1.0
+    slots_per_core: float = 1.0  # visits in work at once; they share the cores evenly; 0: no limit
+    queue_per_core: float = 32.0  # visits that wait, beyond that one is turned away; 0: no limit
+    cold_from: float = 0.25  # share of capacity right after a start
+    warm_ms: float = 10_000.0  # until it is warm at the latest
+    warm_visits: float = 0.0  # done, that warm it sooner; 0: time alone does
+    thrash: float = 0.0  # less efficient by 1 / (1 + this x held a core over thrash_at)
+    thrash_at: float = 4.0
+    pause_every_ms: float = 0.0  # 0: none
+    pause_ms: float = 20.0
+    error_rate: float = 0.0
+    cancel: Literal["none", "queued", "all"] = "queued"  # what stops when a fetch is given up
+    drops_expired: bool = False
+    connections: int = 0  # open at most; 0: no limit
+    handshake_ms: float = 0.5  # of work, on the first visit of a connection
+    tips: float = (
+        0.0  # times its capacity over tip_ms that pushes it over while cold, so that it dies; 0: never
+    )
+    tip_ms: float = 2_000.0
+    restart_ms: float = 5_000.0  # until a dead one is up again
+    cell_size: int = 0  # servers of a cell; 0: the zone is one
+    crowd: Crowd = msgspec.field(default_factory=Crowd)
+    memory: Memory = msgspec.field(default_factory=Memory)
+
+
+class Links(_Part):
+    """The network, one way."""
+
+    same_ms: float = 0.2
+    cross_ms: float = 1.0
+    client_ms: float = 0.5
+    jitter: float = 0.2  # mean of an exponential part on top, as a share
+    loss: float = 0.0  # of messages, each costing a retransmission
+    again_ms: float = 200.0  # that a retransmission takes
+    connect_timeout_ms: float = 250.0
+    handshake_trips: float = 2.0
+    keepalive_ms: float = 15_000.0
+
+
+class Registry(_Part):
+    """The list service."""
+
+    mode: Literal["push", "ask"] = "push"
+    notice_ms: tuple[float, float] = (500.0, 1_500.0)  # until it knows of a start, drain or death
+    silent_ms: tuple[float, float] = (4_000.0, 8_000.0)  # until it knows of one that has vanished
+    period_ms: float = 500.0  # changes go out in batches
+    spread_ms: float = 100.0
+    calls_per_s: float = 0.0  # that it answers; 0: no limit
+    timeout_ms: float = 2_000.0  # a call that would wait longer fails
+    must_ask_ms: float = 10_000.0
+
+
+class Reports(_Part):
+    """Load reports and probes."""
+
+    via: Literal["none", "answers", "probe"] = "none"
+    fields: list[str] = msgspec.field(default_factory=lambda: ["in-flight"])
+    period_ms: float = 200.0  # a server's figures are as old as this at the most, when they leave
+    noise: float = 0.0  # standard deviation, as a share
+    probes: bool = False
+    probe_timeout_ms: float = 250.0
+
+
+class Load(_Part):
+    """Visits a second, either as such or as a share of what warm servers can do."""
+
+    rate: float = 0.0
+    share: float = 0.0
+    swing: float = 0.0  # of a sine over the mean
+    period_s: float = 60.0  # of that sine
+    ramp: float = 0.0  # rises by this share until the end
+    keys: int = 0  # distinct ones; 0: none
+    zipf: float = 0.9
+    closed: int = 0  # clients that send again only after an answer, beside the open stream
+    think_ms: float = 1_000.0
+
+
+class Clients(_Part):
+    retries: int = 0  # after a first try
+    patience: float = 1.0  # share of the client timeout that one try is given
+    backoff: Literal["none", "fixed", "exp"] = "exp"
+    backoff_ms: float = 50.0
+    honour: float = 1.0  # share of the clients that wait as long as they are told
+    after_errors: bool = True  # read-like and tagged visits are tried again after an error, too
+    marks: bool = True  # repeats are marked as such
+    impatient: float = 0.0  # share that leaves at a random moment
+
+
+class Prefix(_Part):
+    """A path prefix."""
+
+    name: str
+    kind: Literal["read-like", "tagged", "mutating"] = "read-like"
+    scope: Literal["all", "zone", "cell"] = "all"
+    window_ms: float = 5_000.0
+    target_ms: float = 100.0
+    timeout_ms: float = 1_000.0
+    gain: float = 1.0
+    late_gain: float = 0.0
+    share: float = 1.0  # of the visits, as a weight
+    work_ms: float = 10.0  # of one core at speed 1, mean
+    dist: Literal["const", "exp", "lognormal", "pareto"] = "exp"
+    cv: float = 1.0
+    wait_ms: float = 0.0  # that it holds its slot without a core, after the work
+
+
+class Tenant(_Part):
+    name: str
+    share: float = 1.0
+
+
+class Rules(_Part):
+    drain_grace_ms: float = 500.0
+    overload_factor: float = 3.0  # of a cold server's capacity
+    tip_ms: float = 2_000.0
+    slack_ms: float = 50.0  # that every time limit is longer for the referee
+
+
+class Goal(_Part):
+    cross_fee: float = 0.0  # share of the mean gain, for each fetch to another zone
+    probe_fee: float = 0.0
+    worst_prefix: float = 0.0  # weight of the worst-served path prefix
+    max_retry_after_ms: float = 1_000.0  # 0: clients are given no advice
+
+
+class Fault(_Part):
+    """Something that goes wrong; what each key means for each kind is in docs/lab.md."""
+
+    kind: str
+    at_s: float = 10.0
+    for_s: float = 10.0
+    part: float = 0.0  # share of the servers or balancers it meets
+    zone: str = ""
+    to_zone: str = ""
+    size: float = 0.0
+    extra: float = 0.0
+    prefix: str = ""
+    silent: bool = False
+
+
+class Chance(_Part):
+    """Faults drawn for each run from ranges."""
+
+    count: int = 0
+    kinds: list[str] = []  # empty: all
+    mildness: float = 0.0  # 0: the whole ranges, 1: their mildest end only
+
+
+class Scenario(_Part):
+    name: str = "unnamed"
+    about: str = ""
+    day: Day = msgspec.field(default_factory=Day)
+    bank: Bank = msgspec.field(default_factory=Bank)
+    zones: Zones = msgspec.field(default_factory=Zones)
+    servers: list[Group] = msgspec.field(default_factory=lambda: [Group()])
+    links: Links = msgspec.field(default_factory=Links)
+    registry: Registry = msgspec.field(default_factory=Registry)
+    reports: Reports = msgspec.field(default_factory=Reports)
+    load: Load = msgspec.field(default_factory=Load)
+    clients: Clients = msgspec.field(default_factory=Clients)
+    prefixes: list[Prefix] = msgspec.field(default_factory=lambda: [Prefix("read")])
+    tenants: list[Tenant] = []
+    rules: Rules = msgspec.field(default_factory=Rules)
+    goal: Goal = msgspec.field(default_factory=Goal)
+    faults: list[Fault] = []
+    chance: Chance = msgspec.field(default_factory=Chance)
+
+    def mean_work(self) -> float:
+        """ms of a core at speed 1 that a visit costs, on the mean."""
+        shares = sum(p.share for p in self.prefixes)
+        return sum(p.share * p.work_ms for p in self.prefixes) / shares
+
+    def capacity(self) -> float:
+        """Visits a second that all servers, warm, can do (ranges of speed at their middle)."""
+        return sum(g.count * g.cores * middle(g.speed) for g in self.servers) * 1e3 / self.mean_work()
+
+    def rate(self) -> float:
+        """First tries a second, on the mean of a day without swing."""
+        return self.load.rate or self.load.share * self.capacity()
+
+
+# each kind of fault, and what `part`, `size` and `extra` mean for it
+FAULTS = {
+    "slow": "part of the servers works size times slower",
+    "pause": "part of the servers stops for size ms every extra s",
+    "crash": "part of the servers dies and starts cold at the end",
+    "zone-loss": "a zone's servers die, or vanish if silent; size: share back; extra 1: balancers too",
+    "flap": "a zone is lost and returns size times within the span",
+    "cut": "links between a zone and the others (or to_zone alone, one way) pass nothing",
+    "roll": "part of the servers is replaced in batches of size (share of all), each drained for extra s",
+    "shrink": "part of the servers is drained for extra s and goes for good",
+    "grow": "part as many servers again join, cold",
+    "restart": "part of the balancers is restarted in batches of size (share), each down for extra s",
+    "kill": "part of the balancers dies at once and is back after the span",
+    "burst": "size times the visits, rising and falling within extra s",
+    "heavy-tail": "extra as a share of the visits of a prefix (or all) has size times the work",
+    "neighbour": "part of the servers loses size of its cores for extra s at a time, as often",
+    "errors": "part of the servers answers errors at once, for size of the visits",
+    "mute": "part of the servers accepts and never answers",
+    "uneven": "part of the servers is size times slower for one balancer in extra",
+    "lossy": "size of all messages is lost and sent again",
+    "registry-down": "the list service answers nothing and its watches end",
+    "registry-late": "the list service takes size s longer to notice",
+    "registry-moved": "the watches of the list end once, all balancers ask anew",
+    "skew": "a zone gets size times its share of the visits",
+}
+
+KINDS = {kind.value: kind for kind in Kind}
+SCOPES = {scope.value: scope for scope in Scope}
+_UNKNOWN = re.compile(r"Object contains unknown field `(.*)`")
+
+
+def middle(span: Span) -> float:
+    return sum(span) / 2 if isinstance(span, tuple) else span
+
+
+def shipped() -> dict[str, str]:
+    """The scenarios that come with the laboratory: their names and their text."""
+    folder = resources.files("ospreyline.lab") / "scenarios"
+    return {
+        entry.name.removesuffix(".toml"): entry.read_text("utf-8")
+        for entry in sorted(folder.iterdir(), key=lambda e: e.name)
+        if entry.name.endswith(".toml")
+    }
+
+
+def load(name: str) -> Scenario:
+    """A scenario by the path of its file, or by the name of a shipped one."""
+    path = Path(name)
+    try:
+        text = path.read_text("utf-8") if path.suffix == ".toml" or path.exists() else shipped().get(name)
+    except (OSError, UnicodeDecodeError) as error:
+        raise ScenarioError(f"{name}: {getattr(error, 'strerror', None) or error}") from error
+    if text is None:
+        near = get_close_matches(name, shipped(), 1)
+        raise ScenarioError(f"{name}: no such file or shipped scenario" + (f", {near[0]!r}?" if near else ""))
+    try:
+        return parse(text)
+    except ScenarioError as error:
+        raise ScenarioError(f"{name}: {error}") from error
+
+
+def parse(text: str) -> Scenario:
+    try:
+        tree = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as error:
+        raise ScenarioError(str(error)) from error
+    return build(tree)
+
+
+def build(tree: Mapping[str, Any]) -> Scenario:
+    """A checked scenario from plain tables."""
+    try:
+        scenario = msgspec.convert(tree, Scenario, strict=True)
+    except msgspec.ValidationError as error:
+        raise ScenarioError(_worded(str(error))) from error
+    for key, problem in _problems(scenario):
+        raise ScenarioError(f"{key}: {problem}")
+    return scenario
+
+
+def change(scenario: Scenario, settings: Mapping[str, Any]) -> Scenario:
+    """The scenario with keys set by dotted path, such as `bank.count` or `servers.0.cores`."""
+    tree = msgspec.to_builtins(scenario)
+    for path, value in settings.items():
+        at: Any = tree
+        *way, last = path.split(".")
+        for step in [*way, last]:
+            known = (
+                [str(i) for i in range(len(at))]
+                if isinstance(at, list)
+                else list(at)
+                if isinstance(at, dict)
+                else []
+            )
+            if step not in known:
+                near = get_close_matches(step, known, 1)
+                raise ScenarioError(f"{path}: no such key" + (f", {near[0]!r}?" if near else ""))
+            if step is not last:
+                at = at[int(step)] if isinstance(at, list) else at[step]
+        if isinstance(at, list):
+            at[int(last)] = value
+        else:
+            at[last] = value
+    return build(tree)
+
+
+def _worded(text: str) -> str:
+    """What msgspec says, the key first, and the nearest known one."""
+    what, at, path = text.partition(" - at `$")
+    where = path.rstrip("`").removeprefix(".")
+    if unknown := _UNKNOWN.match(what):
+        key = unknown[1]
+        near = get_close_matches(key, sorted(_known_keys(Scenario)), 1)
+        return f"{where + '.' if where else ''}{key}: unknown key" + (f", {near[0]!r}?" if near else "")
+    return f"{where}: {what}" if at and where else what
+
+
+def _known_keys(part: type[msgspec.Struct]) -> Iterator[str]:
+    tables = (
+        Scenario,
+        Day,
+        Bank,
+        Zones,
+        Group,
+        Crowd,
+        Memory,
+        Links,
+        Registry,
+        Reports,
+        Load,
+        Clients,
+        Prefix,
+        Tenant,
+        Rules,
+        Goal,
+        Fault,
+        Chance,
+    )
+    for table in tables:
+        yield from table.__struct_fields__
+
+
+def _problems(s: Scenario) -> Iterator[tuple[str, str]]:
+    """What the types do not say: the first of these is the error."""
+    yield from _numbers("", msgspec.to_builtins(s))
+    if not s.day.seconds > s.day.settle:
+        yield "day.seconds", f"{s.day.seconds:g} leaves nothing after day.settle"
+    if not s.day.window > 0:
+        yield "day.window", f"{s.day.window:g} is no time"
+    if s.bank.count < 1:
+        yield "bank.count", "one balancer is needed"
+    if not s.bank.cores > 0:
+        yield "bank.cores", f"{s.bank.cores:g} is no share of a core"
+    if not s.zones.names or len(set(s.zones.names)) < len(s.zones.names):
+        yield "zones.names", "one or more different names are needed"
+    if s.zones.traffic and (len(s.zones.traffic) != len(s.zones.names) or not sum(s.zones.traffic) > 0):
+        yield "zones.traffic", "one weight for each zone is needed, not all 0"
+    if not s.servers:
+        yield "servers", "one group is needed"
+    for i, g in enumerate(s.servers):
+        at = f"servers[{i}]"
+        if g.zone and g.zone not in s.zones.names:
+            yield f"{at}.zone", f"{g.zone!r} is not in zones.names"
+        if g.count < 1 or g.cores < 1:
+            yield f"{at}.{'count' if g.count < 1 else 'cores'}", "1 is the least"
+        if not middle(g.speed) > 0:
+            yield f"{at}.speed", "0 is no speed"
+        if not 0 < g.cold_from <= 1:
+            yield f"{at}.cold_from", f"{g.cold_from:g} is no share of the capacity"
+    held = {g.zone for g in s.servers if g.zone}
+    if all(g.zone for g in s.servers):
+        for zone in s.zones.names:
+            if zone not in held:
+                yield "zones.names", f"no server is in {zone!r}"
+    if not s.prefixes:
+        yield "prefixes", "one is needed"
+    names = [p.name for p in s.prefixes]
+    for i, p in enumerate(s.prefixes):
+        if p.name in names[:i]:
+            yield f"prefixes[{i}].name", f"{p.name!r} is there twice"
+        for key in ("target_ms", "timeout_ms", "work_ms"):
+            if not getattr(p, key) > 0:
+                yield f"prefixes[{i}].{key}", f"{getattr(p, key):g} is no time"
+    if not sum(p.share for p in s.prefixes) > 0:
+        yield "prefixes", "all shares are 0"
+    if not (s.load.rate or s.load.share or s.load.closed):
+        yield "load", "rate, share or closed is needed"
+    if s.tenants and not sum(t.share for t in s.tenants) > 0:
+        yield "tenants", "all shares are 0"
+    for i, fault in enumerate(s.faults):
+        at = f"faults[{i}]"
+        if fault.kind not in FAULTS:
+            near = get_close_matches(fault.kind, FAULTS, 1)
+            yield f"{at}.kind", f"unknown {fault.kind!r}" + (f", {near[0]!r}?" if near else "")
+        for key in ("zone", "to_zone"):
+            if (zone := getattr(fault, key)) and zone not in s.zones.names:
+                yield f"{at}.{key}", f"{zone!r} is not in zones.names"
+        if fault.prefix and fault.prefix not in names:
+            yield f"{at}.prefix", f"{fault.prefix!r} is not a prefix"
+    for i, kind in enumerate(s.chance.kinds):
+        if kind not in FAULTS:
+            yield f"chance.kinds[{i}]", f"unknown {kind!r}"
+    for fee in ("cross_fee", "probe_fee", "worst_prefix"):
+        if getattr(s.goal, fee) > 1:
+            yield f"goal.{fee}", f"{getattr(s.goal, fee):g} is over 1"
+    for key in ("part",):
+        for i, fault in enumerate(s.faults):
+            if getattr(fault, key) > 1:
+                yield f"faults[{i}].{key}", f"{getattr(fault, key):g} is over 1"
+
+
+def _numbers(path: str, value: Any) -> Iterator[tuple[str, str]]:
+    """No figure of a scenario may be under 0 or not finite, and a range goes upwards."""
+    if isinstance(value, dict):
+        for key, inner in value.items():
+            yield from _numbers(f"{path}.{key}" if path else key, inner)
+    elif isinstance(value, list | tuple):
+        for i, inner in enumerate(value):
+            yield from _numbers(f"{path}[{i}]", inner)
+        if isinstance(value, tuple) and len(value) == 2 and value[0] > value[1]:
+            yield path, f"the range goes from {value[0]:g} down to {value[1]:g}"
+    elif isinstance(value, float | int) and not 0 <= value < 1e12:
+        yield path, f"{value:g} is not a figure from 0 on"
--- /dev/null
+++ b/tests/test_regression.py
@@ -0,0 +1,84 @@
+"""The regression's state as read from a journal: which entry counts, what it says, and of which text."""
+
+from __future__ import annotations
+
+import json
+from hashlib import sha256
+
+import pytest
+from click.testing import CliRunner
+
+from ospreyline.__main__ import main
+from ospreyline.regression import entries, standings, texts
+
+GATE = "day one\nGATE {}\nsnapshot"
+
+
+def entry(folder, name, at, figure=0.7, **more):
+    row = {
+        "id": name, "at": [at, at], "cmd": "real-score", "site": "s", "panel": "real:s:1:calm+mass,roll+mass",
+        "ok": True, "figures": {"real_score": figure}, "digest": GATE.format("passed"), "unknown": 1,
+        "policy": [{"path": "a.py", "sha256": sha256(b"text").hexdigest()}], **more}
+    (folder / f"{name}.json").write_text(json.dumps(row))
+
+
+@pytest.fixture
+def journal(tmp_path):
+    (tmp_path / "a.py").write_bytes(b"text")
+    folder = tmp_path / "journal"
+    folder.mkdir()
+    return folder
+
+
+def state_of(journal):
+    run = entries(journal)
+    return standings(run, texts(journal.parent, run))
+
+
+@pytest.mark.parametrize(("more", "trouble"), [
+    ({}, ""),
+    ({"figure": 0.66}, "fell by 0.040"),
+    ({"figure": 0.68}, ""),
+    ({"ok": False, "error": "n0 crashed"}, "n0 crashed"),
+    ({"digest": GATE.format("failed: lost on roll+mass")}, "gate failed: lost on roll+mass"),
+    ({"days": [{"name": "roll", "rules": {"drain": 2, "dup": 0}}]}, "rule broken, roll: drain"),
+])
+def test_what_has_to_be_seen_to_first_is_said(journal, more, trouble):
+    entry(journal, "b", "2026-01-01T00:00:00Z")
+    entry(journal, "a", "2026-01-02T00:00:00Z", **{"figure": 0.7, **more})
+    (found,) = state_of(journal)
+    assert found.trouble == trouble and found.last.id == "a"
+    said = CliRunner().invoke(main, ["regression", "--journal", str(journal)])
+    assert said.exit_code == (1 if trouble else 0) and trouble in said.output
+
+
+def test_calls_are_told_apart_and_edited_ones_passed_over(journal):
+    entry(journal, "a", "2026-01-01T00:00:00Z")
+    entry(journal, "b", "2026-01-02T00:00:00Z", panel="real:s:1:calm+mass:quick")
+    entry(journal, "c", "2026-01-03T00:00:00Z", panel="real:s:1:churn+long,rude")
+    entry(journal, "d", "2026-01-04T00:00:00Z", cmd="score", mode="quick", panel="x", score=0.6, figures={})
+    entry(journal, "e", "2026-01-05T00:00:00Z", edited_meanwhile=True)
+    entry(journal, "f", "2026-01-06T00:00:00Z", site=None, panel=None, ok=False)
+    entry(journal, "g", "2026-01-07T00:00:00Z", cmd="replay")
+    assert [(s.call, s.last.id) for s in state_of(journal)] == [
+        ("in service, s, full", "c"), ("simulated, s, quick", "d"), ("standing, s, full", "a"),
+        ("standing, s, quick", "b")]
+
+
+def test_a_text_that_has_changed_since_is_said(journal):
+    entry(journal, "a", "2026-01-01T00:00:00Z", ok=False, error="x")
+    assert state_of(journal)[0].same_text
+    (journal.parent / "a.py").write_bytes(b"other")
+    assert not state_of(journal)[0].same_text
+    # its trouble is of a text that is gone
+    assert CliRunner().invoke(main, ["regression", "--journal", str(journal)]).exit_code == 0
+    (journal.parent / "a.py").unlink()
+    assert not state_of(journal)[0].same_text
+
+
+@pytest.mark.parametrize("text", ["{", '{"id": 3}'])
+def test_a_journal_that_cannot_be_read_is_one_line(journal, text):
+    (journal / "x.json").write_text(text)
+    found = CliRunner().invoke(main, ["regression", "--journal", str(journal)])
+    assert found.exit_code == 2 and "x.json: " in found.output
+    assert CliRunner().invoke(main, ["regression", "--journal", str(journal / "none")]).exit_code == 2
