Cold servers are used beside a crowded zone, and many balancers are less patient

Ends of fetches by server: new servers answered 95% in 0.25 s and did 1 to 5 visits a second, old ones timed out in 37%. Ruled out: cold capacity that is not there, draining servers that turn away, the list's age. At fault in decide.py: _predicted scaled a crowded zone's latency for cold servers; _count let the cold budget fall with what crowded servers deliver; _bold let 40 balancers each be two thirds as patient as one. Change: idle latency for cold servers, budget from what is delivered of late, 0.4 of the patience among many.

--- a/ospreyline/decide.py
+++ b/ospreyline/decide.py
@@ -36,6 +36,8 @@
 SMOOTH = 0.1  # weight of a new sample in smoothed figures
 PACE = 0.02  # weight of a new sample in the pace of a path prefix
 REACH = 0.3  # weight of a new sample in the share of a zone's fetches that find a process
+MANY = 0.4  # of patience, where balancers are many
+COLD_SHARE = 0.8  # of what the rule lets a cold upstream be sent, if all that we see delivered went evenly
 PATIENCE = 0.9  # share of the target latency that a visit of great value accepts as predicted latency
 IDLE_SHARE = 0.4  # of an idle upstream's latency that comes on top of patience
 FIRST_GUESS = 0.2  # of the shortest target latency: an upstream's latency until it is measured
@@ -271,7 +273,7 @@
         self._zones = terms.zones
         # balancers of one zone let visits in at the same moment, in whole ones: the more there are, the
         # further short of its patience each must stay (E1)
-        self._bold = PATIENCE * (2 + min(1.0, terms.zones / terms.balancers)) / 3
+        self._bold = PATIENCE * (MANY + (1 - MANY) * min(1.0, terms.zones / terms.balancers))
         self._balancers = terms.balancers
         self._max_fetches = terms.max_fetches
         self._may_copy = terms.may_copy
@@ -287,7 +289,8 @@
         # cold sends a window at a capacity of one a second: the balancers of a zone together bring a warm
         # upstream no more than it can do, but those of any zone may send to a cold one
         self._cold_window = terms.overload_factor * terms.tip_after / 1e3 / max(3, terms.zones)
-        self._capacity = 0.0  # visits a second that a warm upstream is seen to carry for us
+        self._capacity = 0.0  # visits a second that a warm upstream may be thought to carry for us
+        self._places = 0.0  # upstreams that we would use, were all healthy
         fields = terms.report_fields
         self._load_field = next((fields.index(f) for f in ("in-flight", "queue", "util") if f in fields), -1)
         self._must_ask_in = terms.must_ask_in if terms.ask_for_list else inf
@@ -618,7 +621,9 @@
         level = u.level
         usual = level.latency * max(1.0, (level.out + 1) / level.depth)
         if now - u.start < self._warm_within:
-            usual /= max(0.25, self._warmth(u, now))
+            # guards: a crowded zone says nothing of one that its budget keeps from being crowded; scaled from
+            # the zone's latency, cold ones stood idle beside warm ones that timed out
+            usual = self._base * (len(u.out) + 1) / max(0.25, self._warmth(u, now))
         own = u.latency * (len(u.out) + 1) / u.depth
         return usual + (own - usual) * exp((u.measured_at - now) / self._memory)
 
@@ -769,9 +774,12 @@
             warm = [u.served for u in level.healthy if now - u.start >= self._warm_within]
             if warm:
                 level.rate += SMOOTH * (sum(warm) / len(warm) / span - level.rate)
-        # where nothing is known yet, half of what we are asked would go round evenly
-        guess = 0.5 * self._asked / max(1, in_use)
-        self._capacity = max(0.99 * self._capacity, guess, *(level.rate for level in self._levels))
+        # where nothing is known yet, half of what we are asked would go round evenly. Guards: one that has
+        # just started, or meets only crowded upstreams, saw none carry much; what is delivered, spread
+        # evenly, is no more than they can do, so a share of what the rule allows on top of that is safe
+        share = COLD_SHARE * max(3, self._zones) * self._flow
+        share = max(0.5 * self._asked, share) / max(1.0, in_use, self._places)
+        self._capacity = max(0.99 * self._capacity, share, *(level.rate for level in self._levels))
         for u in self._ready:
             u.served = 0
         self._memory = max(FORGET, 1e3 * in_use / max(0.1, self._asked))
@@ -840,6 +848,8 @@
             if not level.samples:
                 # until measured, one at each from all balancers of the zone is as usual
                 level.depth = max(1.0, len(level.healthy) * self._zones / self._balancers)
+        sizes = zip(self._levels, rings, strict=True)
+        self._places = sum(min(1.0, level.used) * len(ring) for level, ring in sizes)
         healths = [min(100.0, FACTOR * 100 * counts[z] / max(1, totals[z])) for z in self._order]
         self._shares = shares(self._order, healths)
 
--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -123,3 +123,45 @@
             sends += balancer._send(visit, cold, host.now)
             host.pass_time(2_000)
         assert 0 < sends <= 2 * (0.1 + 0.06 * window) * 20 * 2
+
+
+def test_a_cold_upstream_beside_crowded_ones_is_not_thought_to_be_slower_still():
+    # met on a roll at full size: half of a fleet, new and idle, stood beside warm ones that timed out
+    host = FakeHost([listed(i) for i in range(4)], balancers=40, zones=5)
+    for _ in range(100):
+        host.pass_time(300)
+        host.serve(1)
+    host.balancer.told_changes(host.now, [listed(0, came_up=host.now - 8_000)])
+    host.balancer._levels[0].latency = 2_000.0
+    for u in host.balancer._upstreams.values():
+        if u.id:
+            u.latency, u.measured_at, u.sent_at = 2_000.0, host.now, host.now
+    host.balancer._capacity = 4.0
+    assert set(host.serve(10)) == {0}
+
+
+@pytest.mark.parametrize("zones", [1, 3, 5])
+def test_one_that_meets_only_crowded_upstreams_has_its_cold_budget_from_what_is_delivered(zones):
+    # met on a roll: balancers that had just been restarted gave cold upstreams a third of what those could do
+    lines = [listed(i, zone=i % zones) for i in range(10)]
+    hosts = [FakeHost(lines, seed=seed, balancers=40, zones=zones, number=seed) for seed in range(40)]
+    for host in hosts:
+        host.balancer._delivered, host.balancer._flow = 8, 8.0
+        host.pass_time(1_300)
+        assert max(level.rate for level in host.balancer._levels) < 0.2 * host.balancer._capacity
+    for u in range(10):
+        # all balancers that use an upstream, together, in visits a second that each of them delivers evenly
+        using = [h.balancer for h in hosts if any(u == x.id for x in h.balancer._levels[u % zones].healthy)]
+        budget = sum(b._cold_window * b._capacity for b in using) / 2
+        # under the rule's factor, 2 here, times what it would carry, were all spread evenly
+        assert budget <= 0.85 * 2.0 * 40 * 8 / 10
+
+
+def test_the_more_balancers_the_less_patient_each_is():
+    # met on a roll: each let in as much as if it were nearly alone, which crowded all for the rest of the day
+    accepted = []
+    for balancers in (3, 40, 400):
+        host = FakeHost([listed(i) for i in range(4)], balancers=balancers)
+        visit = Visit(host.balancer, 1, host.balancer._lanes[0], host.now, 2_500.0, 0, False)
+        accepted.append(host.balancer._patience(visit, 0.0))
+    assert accepted[0] > 1.6 * accepted[1] > 1.6 * accepted[2]
