--- a/ospreyline/decide.py
+++ b/ospreyline/decide.py
@@ -36,7 +36,6 @@
 SMOOTH = 0.1  # weight of a new sample in smoothed figures
 PACE = 0.02  # weight of a new sample in the pace of a path prefix
 REACH = 0.3  # weight of a new sample in the share of a zone's fetches that find a process
-MANY = 0.4  # of patience, where balancers are many
 COLD_SHARE = 0.8  # of what the rule lets a cold upstream be sent, if all that we see delivered went evenly
 PATIENCE = 0.9  # share of the target latency that a visit of great value accepts as predicted latency
 IDLE_SHARE = 0.4  # of an idle upstream's latency that comes on top of patience
@@ -273,7 +272,7 @@
         self._zones = terms.zones
         # balancers of one zone let visits in at the same moment, in whole ones: the more there are, the
         # further short of its patience each must stay (E1)
-        self._bold = PATIENCE * (MANY + (1 - MANY) * min(1.0, terms.zones / terms.balancers))
+        self._bold = PATIENCE * (2 + min(1.0, terms.zones / terms.balancers)) / 3
         self._balancers = terms.balancers
         self._max_fetches = terms.max_fetches
         self._may_copy = terms.may_copy
