--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -240,11 +240,13 @@
               {"kind": "cut", "at_s": 2, "for_s": 2, "zone": "b"},
               {"kind": "burst", "at_s": 1, "for_s": 2, "size": 2, "extra": 0.4}]
     for kind, size in (("errors", 0.3), ("mute", 0), ("neighbour", 0.4), ("lossy", 0.02)):
-        faults += [{"kind": kind, "at_s": at, "for_s": 2, "part": 1.0, "size": size, "extra": 0.3} for at in (1, 2)]
+        for at in (1, 2):
+            faults.append({"kind": kind, "at_s": at, "for_s": 2, "part": 1.0, "size": size, "extra": 0.3})
     run = Run(small(faults=faults), 1)
     run.world.run(2_500)
     assert {server.slow for server in run.servers} == {6.0} and run.links.cuts
-    assert {(len(s.errors), s.mute) for s in run.servers} == {(2, 2)} and run.links.lossy == pytest.approx(0.04)
+    assert {(len(s.errors), s.mute) for s in run.servers} == {(2, 2)}
+    assert run.links.lossy == pytest.approx(0.04)
     run.go()
     for server in run.servers:
         assert server.slow == pytest.approx(1.0) and server.cores_lost == pytest.approx(0.0)
