Of a part of a cold send only half is granted, so that chance over hundreds keeps the rule

At fault: decide.py, _may_go, where the parts of hundreds of balancers are drawn at their full mean.

--- a/ospreyline/decide.py
+++ b/ospreyline/decide.py
@@ -37,6 +37,7 @@
 PACE = 0.02  # weight of a new sample in the pace of a path prefix
 REACH = 0.3  # weight of a new sample in the share of a zone's fetches that find a process
 COLD_SHARE = 0.8  # of what the rule lets a cold upstream be sent, if all that we see delivered went evenly
+SPARE = 0.5  # share of a part of a cold send that is granted; the rest is left for chance
 PATIENCE = 0.9  # share of the target latency that a visit of great value accepts as predicted latency
 IDLE_SHARE = 0.4  # of an idle upstream's latency that comes on top of patience
 FIRST_GUESS = 0.2  # of the shortest target latency: an upstream's latency until it is measured
@@ -494,7 +495,8 @@
                 # guards: a part under one send is kept by chance, drawn for each window and never saved up,
                 # or hundreds of balancers would each send the one they have left at the same moment
                 part = self._cold_window * self._capacity * self._warmth(u, now)
-                u.allowed = int(part + self._random())
+                # ... and only half of it is granted: the sum of hundreds of chances must keep the rule, too
+                u.allowed = int(part) + (self._random() < SPARE * (part % 1))
                 u.drawn_at = now
             return len(sends) < u.allowed
         return True
