--- a/ospreyline/decide.py
+++ b/ospreyline/decide.py
@@ -37,7 +37,7 @@
 PACE = 0.02  # weight of a new sample in the pace of a path prefix
 REACH = 0.3  # weight of a new sample in the share of a zone's fetches that find a process
 COLD_SHARE = 0.8  # of what the rule lets a cold upstream be sent, if all that we see delivered went evenly
-SPARE = 0.5  # share of a part of a cold send that is granted; the rest is left for chance
+SPARE = 0.5  # share of a part of a cold send that is left for chance, where balancers are many
 PATIENCE = 0.9  # share of the target latency that a visit of great value accepts as predicted latency
 IDLE_SHARE = 0.4  # of an idle upstream's latency that comes on top of patience
 FIRST_GUESS = 0.2  # of the shortest target latency: an upstream's latency until it is measured
@@ -289,6 +289,7 @@
         # cold sends a window at a capacity of one a second: the balancers of a zone together bring a warm
         # upstream no more than it can do, but those of any zone may send to a cold one
         self._cold_window = terms.overload_factor * terms.tip_after / 1e3 / max(3, terms.zones)
+        self._granted = 1 - SPARE * (1 - min(1.0, terms.zones / terms.balancers))
         self._capacity = 0.0  # visits a second that a warm upstream may be thought to carry for us
         self._places = 0.0  # upstreams that we would use, were all healthy
         fields = terms.report_fields
@@ -496,7 +497,7 @@
                 # or hundreds of balancers would each send the one they have left at the same moment
                 part = self._cold_window * self._capacity * self._warmth(u, now)
                 # ... and only half of it is granted: the sum of hundreds of chances must keep the rule, too
-                u.allowed = int(part) + (self._random() < SPARE * (part % 1))
+                u.allowed = int(part) + (self._random() < self._granted * (part % 1))
                 u.drawn_at = now
             return len(sends) < u.allowed
         return True
