--- a/ospreyline/lab/scenario.py
+++ b/ospreyline/lab/scenario.py
@@ -373,12 +373,12 @@
     where = path.rstrip("`").removeprefix(".")
     if unknown := _UNKNOWN.match(what):
         key = unknown[1]
-        near = get_close_matches(key, sorted(_known_keys(Scenario)), 1)
+        near = get_close_matches(key, sorted(_known_keys()), 1)
         return f"{where + '.' if where else ''}{key}: unknown key" + (f", {near[0]!r}?" if near else "")
     return f"{where}: {what}" if at and where else what
 
 
-def _known_keys(part: type[msgspec.Struct]) -> Iterator[str]:
+def _known_keys() -> Iterator[str]:
     tables = (
         Scenario,
         Day,
