--- a/ospreyline/decide.py
+++ b/ospreyline/decide.py
@@ -43,6 +43,7 @@
 FIRST_GUESS = 0.2  # of the shortest target latency: an upstream's latency until it is measured
 SHARED_BY = 4  # balancers of a zone that send to an upstream there, at the least
 USED = 4  # upstreams of a zone that a balancer sends to, at the least
+OWN = 0.25  # fetches of ours at each of them, were none crowded; more are used until it is no more
 UNCROWDED = 3.0  # visits that any upstream may hold at a time, however slow it is
 GOLDEN = 0.6180339887498949
 MIX, MASK = 0xD6E8FEB86659FD93, (1 << 64) - 1  # to hash a key with an upstream's mark
@@ -834,13 +835,15 @@
                 count /= 2
             # E6: one that we have not met for long is as likely up as those of its zone that we have met
             counts[u.zone] += count * (reach[u.zone] if now - u.measured_at > FORGET else 1.0)
+        own = max(self._asked, self._taken) * self._base / 1e3 / OWN
         for level, ring in zip(self._levels, rings, strict=True):
             # E7: of hundreds of balancers each sends to a few upstreams of a zone, so that it knows them:
-            # the next healthy ones in the ring from its own place, so that all upstreams are used alike
+            # the next healthy ones in the ring from its own place, so that all upstreams are used alike.
+            # Guards: one asked many times the mean crowded its four beside others that stood idle
             first, level.healthy = int(self._place_in_ring * len(ring)), []
             level.used = max(USED, self._used_share * len(ring)) / max(1, len(ring))
             for u, latency in ring[first:] + ring[:first]:
-                if len(level.healthy) >= level.used * len(ring):
+                if len(level.healthy) >= max(level.used * len(ring), own):
                     break
                 if u.failing:
                     if now >= u.trial_at:
@@ -851,7 +854,7 @@
                 # until measured, one at each from all balancers of the zone is as usual
                 level.depth = max(1.0, len(level.healthy) * self._zones / self._balancers)
         sizes = zip(self._levels, rings, strict=True)
-        self._places = sum(min(1.0, level.used) * len(ring) for level, ring in sizes)
+        self._places = sum(min(len(ring), max(level.used * len(ring), own)) for level, ring in sizes)
         healths = [min(100.0, FACTOR * 100 * counts[z] / max(1, totals[z])) for z in self._order]
         self._shares = shares(self._order, healths)
 
