What only the closed fleets had goes from the module: memory of keys (E5), second copies

Two fetches of a visit at once are now refused whatever the settings say, the stricter case. The key went from take() on, which nothing reads any more.

--- a/ospreyline/decide.py
+++ b/ospreyline/decide.py
@@ -215,14 +215,13 @@
     """The handle of a visit that was taken."""
 
     __slots__ = ("_balancer", "came", "done", "expires", "fetches", "held",
-                 "key", "lane", "out", "tag", "target_at")
+                 "lane", "out", "tag", "target_at")
 
     def __init__(self, balancer: Balancer, tag: int, lane: Lane, now: float, ttl: float,
-                 key: int, repeat: bool) -> None:
+                 repeat: bool) -> None:
         self._balancer = balancer
         self.tag = tag
         self.lane = lane
-        self.key = key
         self.came = now
         self.expires = now + ttl
         # a marked repeat that is given less time than others is a later try: its target latency began before.
@@ -277,7 +276,6 @@
         self._bold = PATIENCE * (2 + min(1.0, terms.zones / terms.balancers)) / 3
         self._balancers = terms.balancers
         self._max_fetches = terms.max_fetches
-        self._may_copy = terms.may_copy
         self._may_cancel = terms.may_cancel
         self._may_probe = terms.may_probe
         self._probe_fee = terms.probe_fee
@@ -286,7 +284,6 @@
         self._cold_from = terms.cold_from
         self._warm_within = terms.warm_within
         self._tip_after = terms.tip_after
-        self._warm_keys = terms.warm_keys
         # cold sends a window at a capacity of one a second: the balancers of a zone together bring a warm
         # upstream no more than it can do, but those of any zone may send to a cold one
         self._cold_window = terms.overload_factor * terms.tip_after / 1e3 / max(3, terms.zones)
@@ -382,11 +379,11 @@
 
     # -- visits -------------------------------------------------------------------------------------------
 
-    def take(self, now: float, tag: int, prefix: int, ttl: float, key: int, repeat: bool) -> Visit:
+    def take(self, now: float, tag: int, prefix: int, ttl: float, repeat: bool) -> Visit:
         """A visit has come; it is sent, held or answered before this returns."""
         lane = self._lanes[prefix]
         lane.usual_ttl = max(lane.usual_ttl, ttl)
-        visit = Visit(self, tag, lane, now, ttl, key if self._warm_keys else 0, repeat)
+        visit = Visit(self, tag, lane, now, ttl, repeat)
         self._taken += 1
         lane.arrived += 1
         if not self._place(visit, now):
@@ -478,7 +475,7 @@
         if not u.ready:
             return False
         # no effect twice
-        if visit.out and not self._may_copy:
+        if visit.out:
             return False
         lane = visit.lane
         if lane.kind is not Kind.READ_LIKE and (ran := visit.may_have_run()) is not None:
@@ -590,19 +587,12 @@
         """The lower-scored of two random upstreams that have room for the visit and may take it."""
         tried = [f.upstream for f in visit.fetches] if visit.fetches else ()
         a = None
-        if visit.key:
-            # E5: where upstreams remember keys, one of the two is the key's own, the same for all its visits;
-            # the next by hash if that has no room
-            for u in sorted(level, key=lambda u: ((visit.key ^ u.mark) * MIX & MASK) * MIX & MASK):
-                if u not in tried and self._fit(u, visit, now, patience):
-                    a = u
-                    break
         n = len(level)
         for i in range(n):  # drawn without putting back until two are found
             j = i + int(self._random() * (n - i))
             u = level[j]
             level[i], level[j] = u, level[i]
-            if u is a or u in tried or not self._fit(u, visit, now, patience):
+            if u in tried or not self._fit(u, visit, now, patience):
                 continue
             if a is None:
                 a = u
--- a/ospreyline/drill/frames.py
+++ b/ospreyline/drill/frames.py
@@ -82,9 +82,9 @@
     # what the wire tells
 
     def request(
-        self, now: float, tid: int, prefix: int, _tenant: int, key: int, ttl: int, _effort: int, marks: int
+        self, now: float, tid: int, prefix: int, _tenant: int, _key: int, ttl: int, _effort: int, marks: int
     ) -> None:
-        visit = self.balancer.take(now, tid, prefix, ttl / 1e3, key, bool(marks & _REPEAT))
+        visit = self.balancer.take(now, tid, prefix, ttl / 1e3, bool(marks & _REPEAT))
         if not visit.settled:
             self.visits[tid] = visit
 
--- a/ospreyline/facts.py
+++ b/ospreyline/facts.py
@@ -54,7 +54,6 @@
 
 class _Caps(_Wire):
     cancel: bool = False
-    may_duplicate: bool = False
     most_backend_fetches: int = 1
     max_retry_after_us: float = 0.0
     probing: bool = False
@@ -78,10 +77,6 @@
         return self.whole + self.worst_class + self.worst_tenant + self.worst_window
 
 
-class _Domain(_Wire):
-    warm_keys: bool = False
-
-
 class _Feedback(_Wire):
     fields: list[str] = []
     via: str = "silent"
@@ -103,7 +98,6 @@
     dcs: list[str] = []
     discovery: str = "push"
     caps: _Caps = msgspec.field(default_factory=_Caps)
-    domain: _Domain = msgspec.field(default_factory=_Domain)
     fees: _Fees = msgspec.field(default_factory=_Fees)
     goal: _Goal = msgspec.field(default_factory=_Goal)
     feedback: _Feedback = msgspec.field(default_factory=_Feedback)
@@ -277,7 +271,6 @@
         number=facts.me,
         prefixes=prefixes,
         max_fetches=caps.most_backend_fetches,
-        may_copy=caps.may_duplicate,
         may_cancel=caps.cancel,
         may_probe=caps.probing,
         max_retry_after=caps.max_retry_after_us / 1e3 if caps.retry_after else 0.0,
@@ -290,6 +283,5 @@
         cross_fee=facts.fees.cross_zone,
         probe_fee=facts.fees.probe,
         worst_prefix=facts.goal.worst_class / max(1e-9, facts.goal.total()),
-        warm_keys=facts.domain.warm_keys,
         report_fields=tuple(REPORT_WORDS.get(f, f) for f in facts.feedback.fields),
     )
--- a/ospreyline/host.py
+++ b/ospreyline/host.py
@@ -88,7 +88,6 @@
     number: int  # of this balancer among them, from 0
     prefixes: tuple[PathPrefix, ...]
     max_fetches: int = 3
-    may_copy: bool = False  # two backend fetches of a visit out at once
     may_cancel: bool = True
     may_probe: bool = False
     max_retry_after: float = 0.0  # 0: clients are given no advice
@@ -101,7 +100,6 @@
     cross_fee: float = 0.0  # share of the mean gain, for each backend fetch to another zone
     probe_fee: float = 0.0
     worst_prefix: float = 0.0  # weight of the worst-served path prefix in the goal
-    warm_keys: bool = False  # upstreams do less work for a key that they met lately
     report_fields: tuple[str, ...] = field(default=())  # in-flight, queue, util, latency, rate, errors
 
 
--- a/ospreyline/lab/bank.py
+++ b/ospreyline/lab/bank.py
@@ -32,7 +32,7 @@
 class Policy(Protocol):
     """What an arm answers to: the calls of `decide.Balancer`."""
 
-    def take(self, now: float, tag: int, prefix: int, ttl: float, key: int, repeat: bool) -> Any: ...
+    def take(self, now: float, tag: int, prefix: int, ttl: float, repeat: bool) -> Any: ...
     def told_all(self, now: float, lines: list[Listed]) -> None: ...
     def told_changes(self, now: float, lines: list[Listed]) -> None: ...
     def told_nothing(self, now: float) -> None: ...
@@ -277,7 +277,7 @@
     def _take(self, ask: Ask) -> None:
         now = self.world.now
         ask.handle = self.policy.take(
-            now, ask.tag, ask.prefix, max(0.0, ask.expires - now), ask.key, ask.repeat
+            now, ask.tag, ask.prefix, max(0.0, ask.expires - now), ask.repeat
         )
         if ask.gone:
             ask.handle.left(now)
--- a/ospreyline/net/clients.py
+++ b/ospreyline/net/clients.py
@@ -11,7 +11,6 @@
 import socket
 from collections import Counter, deque
 from dataclasses import dataclass
-from hashlib import blake2b
 from http import HTTPStatus
 from math import isfinite
 from typing import Any, Protocol, cast
@@ -47,7 +46,6 @@
     prefix: int  # or OWN
     trace: bytes  # its id
     time_left: float | None
-    key: int
     repeat: bool
 
     def head(self) -> bytes:
@@ -228,7 +226,7 @@
                 dropped |= named - {b"x-trace-id", b"idempotency-key", b"host"}
         method = self._parser.get_method()
         if method == b"GET" and self._path in OWN_PATHS:
-            return Request(method, self._path, b"", b"", OWN, b"", None, 0, False)
+            return Request(method, self._path, b"", b"", OWN, b"", None, False)
         if self._parser.get_http_version() not in ("1.0", "1.1"):
             raise BadRequest(505)
         if not self._path.startswith(b"/"):
@@ -253,7 +251,6 @@
                 raise BadRequest(400) from None
             if not isfinite(left) or b"_" in text:
                 raise BadRequest(400)
-        key = own.get(b"x-object", b"")
         return Request(
             method=method,
             path=self._path,
@@ -262,7 +259,6 @@
             prefix=prefix,
             trace=trace,
             time_left=left,
-            key=int.from_bytes(blake2b(key, digest_size=8).digest(), "big") if key else 0,
             repeat=own.get(b"x-second-try", b"").strip() == b"1",
         )
 
--- a/ospreyline/net/turn.py
+++ b/ospreyline/net/turn.py
@@ -188,7 +188,7 @@
         if request.time_left is not None:
             left = min(left, request.time_left)
         taken.late = self._loop.call_later(max(0.0, left + BACKSTOP) / 1e3, self.note, self._overdue, taken)
-        taken.handle = self.balancer.take(now, taken.tag, request.prefix, left, request.key, request.repeat)
+        taken.handle = self.balancer.take(now, taken.tag, request.prefix, left, request.repeat)
         self._settle(taken)
 
     def _left(self, now: float, taken: Taken) -> None:
