Connections that rested as long as silent ones had are replaced before a send

Dropped: probes do not keep connections alive (measured). Now a fetch is silent at its time-out or past its target latency, and rests count only where a third of those as long were silent. Host.drop on all fronts.

--- a/ospreyline/decide.py
+++ b/ospreyline/decide.py
@@ -48,6 +48,9 @@
 GOLDEN = 0.6180339887498949
 MIX, MASK = 0xD6E8FEB86659FD93, (1 << 64) - 1  # to hash a key with an upstream's mark
 FURTHER = 2  # further backend fetches of a visit
+RESTED = 0.9  # of the shortest rest from which on connections are silent: what rests longer is replaced
+SILENT = 1 / 3  # share of silent ones among connections that rested as long, from which on it is their rest
+FORGIVE = 30_000.0  # ms for which a silent connection counts
 PROBE_SPEND = 0.002  # of the gain, the most that probes may cost
 PROBE_EVERY = 1_000.0  # ms between probes of an upstream, at most
 
@@ -123,7 +126,7 @@
     __slots__ = ("allowed", "cell", "cold_sends", "depth", "drawn_at", "failing", "full_at", "heard_at", "id",
                  "latency", "level", "lowest", "lowest_before", "lowest_since", "mark", "measured_at", "out",
                  "probed_at", "ready", "report", "report_at", "run", "samples", "sent_at", "served", "since",
-                 "start", "trial_at", "trial_out", "zone")
+                 "start", "trial_at", "trial_out", "used_at", "zone")
 
     def __init__(self, line: Listed, level: Level) -> None:
         self.id = line.upstream
@@ -151,6 +154,7 @@
         self.report_at = -inf
         self.probed_at = -inf
         self.sent_at = -inf
+        self.used_at = inf  # a connection to it last carried an answer; inf while none is known
         self.served = 0
         self.cold_sends: deque[float] = deque()
         self.allowed = 0  # cold sends in a window, drawn for each
@@ -200,15 +204,18 @@
 class Fetch:
     """One backend fetch of a visit."""
 
-    __slots__ = ("depth", "end", "level_depth", "sent", "trial", "upstream")
+    __slots__ = ("depth", "end", "lane", "level_depth", "rest", "sent", "silent", "trial", "upstream")
 
-    def __init__(self, upstream: Upstream, now: float) -> None:
+    def __init__(self, upstream: Upstream, lane: Lane, now: float, rest: float) -> None:
         self.upstream = upstream
         self.sent = now
         self.depth = len(upstream.out) + 1
         self.level_depth = upstream.level.out + 1
         self.end: End | None = None
         self.trial = False
+        self.silent = False  # no answer came, or it is long overdue
+        self.lane = lane
+        self.rest = rest  # ms for which its connection had carried nothing; 0 for a new one
 
 
 class Visit:
@@ -277,6 +284,8 @@
         self._balancers = terms.balancers
         self._max_fetches = terms.max_fetches
         self._may_cancel = terms.may_cancel
+        self._rest = inf  # a connection that has rested longer is not trusted
+        self._rests: deque[Fetch] = deque(maxlen=99)  # fetches on connections that had rested, latest last
         self._may_probe = terms.may_probe
         self._probe_fee = terms.probe_fee
         self._cross_fee = terms.cross_fee
@@ -414,6 +423,12 @@
     def _learn(self, u: Upstream, f: Fetch, now: float, end: End, spent: float, lane: Lane) -> None:
         if f.trial:
             u.trial_out = False
+        if end is End.DELIVERED or end is End.ERRORED or end is End.FULL:
+            u.used_at = now
+        elif end is End.TIMED_OUT:
+            self._silence(f, now)
+            if f.rest > self._rest:
+                return  # guards: of a connection that was dropped unseen; it says nothing of the upstream
         if end is End.CANCELLED or end is End.UNSENT:
             return
         lost = end is End.UNREACHED or end is End.RESET
@@ -449,6 +464,18 @@
                 u.failing = True
                 u.trial_at = now + HOLD_DOWN
 
+    def _silence(self, f: Fetch, now: float) -> None:
+        """A fetch has no answer, or is long overdue: is it the rest of its connection?"""
+        f.silent = True
+        late = [g for g in self._rests if now - g.sent < FORGIVE]
+        self._rest = inf
+        for rest in sorted(g.rest for g in late if g.silent):
+            as_long = [g.silent for g in late if g.rest >= rest]
+            # guards: upstreams that are silent themselves are so after a short rest, too
+            if sum(as_long) > SILENT * len(as_long):
+                self._rest = RESTED * rest
+                break
+
     def _measure(self, u: Upstream, now: float, latency: float, f: Fetch) -> None:
         u.smooth(now, latency, f.depth, self._memory)
         u.level.smooth(now, latency, f.level_depth)
@@ -510,7 +537,15 @@
         """The one place that sends."""
         if not self._may_go(visit, u, now):
             return False
-        f = Fetch(u, now)
+        rest = 0.0 if u.out else max(0.0, now - u.used_at)
+        if rest > self._rest:
+            # guards: something between us and the upstreams drops idle connections unseen, and what is sent
+            # on one gets no answer. A new one costs the upstream some work
+            self._host.drop(u.id)
+            rest = 0.0
+        f = Fetch(u, visit.lane, now, rest)
+        if rest:
+            self._rests.append(f)
         f.trial = trial
         if trial:
             u.trial_out = True
@@ -739,6 +774,9 @@
                 # guards: a stuck upstream answers nothing that could be measured; its oldest fetch tells
                 late = now - next(iter(u.out)).sent
                 expected = u.expected(now, self._memory)
+                for f in u.out:
+                    if not f.silent and now - f.sent > max(f.lane.target, LATENCY_MARK * expected):
+                        self._silence(f, now)
                 if late > LATENCY_MARK * expected:
                     u.latency = expected + 2 * SMOOTH * (late - expected)
                     u.measured_at = now
@@ -775,6 +813,8 @@
         self._capacity = max(0.99 * self._capacity, share, *(level.rate for level in self._levels))
         for u in self._ready:
             u.served = 0
+        if self._rests and now - self._rests[-1].sent > FORGIVE:
+            self._rest = inf
         self._memory = max(FORGET, 1e3 * in_use / max(0.1, self._asked))
         self._weigh()
 
--- a/ospreyline/drill/frames.py
+++ b/ospreyline/drill/frames.py
@@ -38,7 +38,7 @@
 _LOSE = Struct("<HI")
 _UNDO = Struct("<HIH")
 _WAKE = Struct("<HQI")
-_PROBE = Struct("<H6s")
+_PROBE = Struct("<H6s")  # and the drop of connections
 _TEXT = Struct("<HH")
 _FOLLOW = Struct("<HB")
 _FROM = Struct("<HI")
@@ -158,6 +158,9 @@
     def probe(self, upstream: int) -> None:
         self._add(_PROBE.pack(6, self._addresses[upstream]))
 
+    def drop(self, upstream: int) -> None:
+        self._add(_PROBE.pack(7, self._addresses[upstream]))
+
     def watch(self, on: bool) -> None:
         self._add(_FOLLOW.pack(11, on))
 
--- a/ospreyline/host.py
+++ b/ospreyline/host.py
@@ -124,6 +124,9 @@
     def probe(self, upstream: int) -> None:
         """Ask an upstream how it does."""
 
+    def drop(self, upstream: int) -> None:
+        """Close the idle connections to an upstream: the next fetch opens a new one."""
+
     def watch(self, on: bool) -> None:
         """Ask for the changes of the list from now on."""
 
--- a/ospreyline/net/turn.py
+++ b/ospreyline/net/turn.py
@@ -384,6 +384,9 @@
     def probe(self, upstream: int) -> None:
         self._to_do.append((self._probe, (upstream,)))
 
+    def drop(self, upstream: int) -> None:
+        self._to_do.append((lambda now: self.upstreams.peers[upstream].drop_idle(), ()))
+
     def watch(self, on: bool) -> None:
         self._to_do.append((lambda now: self.discovery.watch(on), ()))
 
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -37,6 +37,7 @@
         self.failed: list[int] = []
         self.cancelled: list[tuple[int, int]] = []
         self.probes: list[int] = []
+        self.dropped: list[int] = []
         self.watches: list[float] = []
         self.wakes: list[tuple[float, Callable[[float], None]]] = []
         self.tags = 0
@@ -61,6 +62,9 @@
     def probe(self, upstream: int) -> None:
         self.probes.append(upstream)
 
+    def drop(self, upstream: int) -> None:
+        self.dropped.append(upstream)
+
     def watch(self, on: bool) -> None:
         self.watches.append(self.now)
 
--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -135,7 +135,7 @@
             balancer._capacity = 0.2  # of 20 visits a second that the 100 bring to a warm one
             if not window:
                 host.balancer.told_changes(host.now, [listed(0, came_up=host.now)])
-            visit = Visit(balancer, 1, balancer._lanes[0], host.now, 2_500.0, 0, False)
+            visit = Visit(balancer, 1, balancer._lanes[0], host.now, 2_500.0, False)
             sends += balancer._send(visit, cold, host.now)
             host.pass_time(2_000)
         assert sends <= 2 * (0.1 + 0.06 * window) * 20 * 2
@@ -187,7 +187,7 @@
             balancer, cold = host.balancer, host.balancer._upstreams[0]
             host.balancer.told_changes(host.now, [listed(0, came_up=host.now - 3_000)])
             balancer._capacity = 1.0
-            visit = Visit(balancer, 1, balancer._lanes[0], host.now, 2_500.0, 0, False)
+            visit = Visit(balancer, 1, balancer._lanes[0], host.now, 2_500.0, False)
             sends[-1] += balancer._send(visit, cold, host.now)
             host.pass_time(2_000)
     part = 2 * 2 / 3 * (0.1 + 0.9 * 0.1)  # of each balancer in a window
