--- a/ospreyline/decide.py
+++ b/ospreyline/decide.py
@@ -120,12 +120,22 @@
         return 1 - (1 - self.reach) * exp((self.reached_at - now) / HOLD_DOWN)
 
 
+class Doubt:
+    """A path prefix that an upstream fails, whether or not it serves others."""
+
+    __slots__ = ("run", "until")
+
+    def __init__(self) -> None:
+        self.run = 0.0
+        self.until = -inf  # no visit of the path prefix goes there before, then one trial
+
+
 class Upstream:
     """All that is known of one upstream."""
 
-    __slots__ = ("allowed", "cell", "cold_sends", "depth", "drawn_at", "failing", "full_at", "heard_at", "id",
-                 "latency", "level", "lowest", "lowest_before", "lowest_since", "mark", "measured_at", "out",
-                 "probed_at", "ready", "report", "report_at", "run", "samples", "sent_at", "served", "since",
+    __slots__ = ("allowed", "cell", "cold_sends", "depth", "doubts", "drawn_at", "failing", "full_at",
+                 "heard_at", "id", "latency", "level", "lowest", "lowest_before", "lowest_since", "mark",
+                 "measured_at", "out", "passed_at", "probed_at", "ready", "report", "report_at", "run", "samples", "sent_at", "served", "since",
                  "start", "trial_at", "trial_out", "used_at", "zone")
 
     def __init__(self, line: Listed, level: Level) -> None:
@@ -139,11 +149,13 @@
         self.since = -inf  # it is new, or has returned, since then
         self.out: dict[Fetch, None] = {}  # oldest first
         self.run = 0.0
+        self.doubts: dict[Lane, Doubt] = {}
         self.failing = False
         self.trial_at = 0.0
         self.trial_out = False
         self.full_at = -inf
         self.heard_at = -inf  # it last answered a visit, or a time-out last counted against it
+        self.passed_at = -inf  # an answered fetch was sent then, the latest such
         self.latency = 0.0  # as last measured; see expected
         self.lowest = self.lowest_before = inf
         self.lowest_since = 0.0
@@ -166,6 +178,7 @@
         self.since = max(start, now - RAMP) if start > -inf else now
         self.failing = self.trial_out = False
         self.run = 0.0
+        self.doubts.clear()
         self.report = 0.0
         self.measured_at = -inf
         self.depth = 1.0
@@ -405,8 +418,8 @@
         if f.end is None:
             f.end = end
             visit.out -= 1
-            u.out.pop(f, None)
-            u.level.out -= 1
+            if u.out.pop(f, self) is None:
+                u.level.out -= 1
             self._learn(u, f, now, end, spent, visit.lane)
             if report:
                 self._take_report(u, now, report)
@@ -426,14 +439,14 @@
         if end is End.DELIVERED or end is End.ERRORED or end is End.FULL:
             u.used_at = now
         elif end is End.TIMED_OUT:
-            self._silence(f, now)
+            if not f.silent and spent > LATENCY_MARK * lane.pace * u.expected(now, self._memory):
+                self._silence(f, now)
             if f.rest > self._rest:
                 return  # guards: of a connection that was dropped unseen; it says nothing of the upstream
         if end is End.CANCELLED or end is End.UNSENT:
             return
         lost = end is End.UNREACHED or end is End.RESET
         u.level.reached(now, not lost)
-        best = max((level.kept for level in self._levels if level.samples >= FEW), default=0.0)
         in_time = end is End.DELIVERED and spent <= lane.target
         if end is End.DELIVERED or end is End.TIMED_OUT:
             lane.pace += PACE * (min(LATENCY_MARK, spent / u.level.latency) - lane.pace)
@@ -441,6 +454,8 @@
         if end is End.DELIVERED:
             u.served += 1
             u.run = 0.0
+            u.doubts.pop(lane, None)
+            u.passed_at = max(u.passed_at, f.sent)
             u.heard_at = now
             if u.failing:
                 u.failing = False
@@ -455,9 +470,11 @@
                 # guards: a stuck upstream costs a visit each time. Five failures say it where one in six
                 # fails by chance; where fewer do, fewer say as much. One that answers others is not stuck,
                 # and a pause met by several visits is one failure: in overload most of a fleet was ejected
-                u.run += max(1.0, log(max(0.01, 1 - best)) / log(1 / 6))
+                u.run += self._weight()
                 u.heard_at = now
-            if end is not End.UNREACHED:
+            if end is End.ERRORED or end is End.RESET:
+                self._doubt(f, now, self._weight())
+            if end is not End.UNREACHED and not f.silent:
                 # guards: one that errors fast looks idle; each error is as bad as a late answer
                 self._measure(u, now, max(spent, lane.target), f)
             if u.failing or u.run >= FAILURE_RUN:
@@ -475,6 +492,21 @@
             if sum(as_long) > SILENT * len(as_long):
                 self._rest = RESTED * rest
                 break
+        if f.rest <= self._rest:
+            self._doubt(f, now, FAILURE_RUN)
+
+    def _doubt(self, f: Fetch, now: float, weight: float) -> None:
+        """Count a failure of a path prefix at an upstream, which a run of has it sent elsewhere."""
+        # guards: an upstream that left one path prefix unanswered and served the others was never ejected
+        doubt = f.upstream.doubts.setdefault(f.lane, Doubt())
+        doubt.run += weight
+        if doubt.run >= FAILURE_RUN:
+            doubt.until = now + HOLD_DOWN
+
+    def _weight(self) -> float:
+        """What one failure counts in a run: more where fewer fail by chance."""
+        best = max((level.kept for level in self._levels if level.samples >= FEW), default=0.0)
+        return max(1.0, log(max(0.01, 1 - best)) / log(1 / 6))
 
     def _measure(self, u: Upstream, now: float, latency: float, f: Fetch) -> None:
         u.smooth(now, latency, f.depth, self._memory)
@@ -555,6 +587,8 @@
         visit.fetches.append(f)
         visit.out += 1
         u.out[f] = None
+        if (doubt := u.doubts.get(f.lane)) is not None and doubt.until > -inf:
+            doubt.until = now + HOLD_DOWN  # this is its trial
         u.level.out += 1
         u.sent_at = now
         if visit.held:
@@ -640,6 +674,9 @@
 
     def _fit(self, u: Upstream, visit: Visit, now: float, patience: float) -> bool:
         """Whether it has room for the visit and may take it; a fresh one is passed over by chance."""
+        doubt = u.doubts.get(visit.lane)
+        if doubt is not None and now < doubt.until and self._shares:
+            return False
         return ((not u.failing or not self._shares) and self._has_room(u, now, patience)
                 and (now - u.start >= self._warm_within or self._random() < self._warmth(u, now))
                 and self._may_go(visit, u, now))
@@ -772,12 +809,21 @@
         for u in self._ready:
             if u.out:
                 # guards: a stuck upstream answers nothing that could be measured; its oldest fetch tells
-                late = now - next(iter(u.out)).sent
                 expected = u.expected(now, self._memory)
-                for f in u.out:
-                    if not f.silent and now - f.sent > max(f.lane.target, LATENCY_MARK * expected):
+                for f in list(u.out):
+                    passed = f.sent < u.passed_at
+                    if not f.silent and now - f.sent > max(0.0 if passed else f.lane.target,
+                                                           LATENCY_MARK * f.lane.pace * expected):
                         self._silence(f, now)
-                if late > LATENCY_MARK * expected:
+                    if f.silent:
+                        # guards: what gets no answer holds no room and tells no latency
+                        del u.out[f]
+                        u.level.out -= 1
+                if not u.out:
+                    continue
+                late = now - next(iter(u.out)).sent
+                if late > LATENCY_MARK * expected and (
+                        len(self._lanes) == 1 or len({f.lane for f in u.out if f.sent < now - late / 2}) > 1):
                     u.latency = expected + 2 * SMOOTH * (late - expected)
                     u.measured_at = now
         home = self._levels[self._zone]
@@ -872,9 +918,12 @@
             # Guards: one asked many times the mean crowded its four beside others that stood idle
             first, level.healthy = int(self._place_in_ring * len(ring)), []
             level.used = max(USED, self._used_share * len(ring)) / max(1, len(ring))
+            wanted = max(level.used * len(ring), own)
             for u, latency in ring[first:] + ring[:first]:
-                if len(level.healthy) >= max(level.used * len(ring), own):
+                if len(level.healthy) >= wanted:
                     break
+                # one that fails some path prefix has another beside it
+                wanted += any(now < doubt.until for doubt in u.doubts.values())
                 if u.failing:
                     if now >= u.trial_at:
                         self._due.append(u)
