--- a/ospreyline/decide.py
+++ b/ospreyline/decide.py
@@ -135,7 +135,7 @@
 
     __slots__ = ("allowed", "cell", "cold_sends", "depth", "doubts", "drawn_at", "failing", "full_at",
                  "heard_at", "id", "latency", "level", "lowest", "lowest_before", "lowest_since", "mark",
-                 "measured_at", "out", "passed_at", "probed_at", "ready", "report", "report_at", "run", "samples", "sent_at", "served", "since",
+                 "measured_at", "out", "probed_at", "ready", "report", "report_at", "run", "samples", "sent_at", "served", "since",
                  "start", "trial_at", "trial_out", "used_at", "zone")
 
     def __init__(self, line: Listed, level: Level) -> None:
@@ -155,7 +155,6 @@
         self.trial_out = False
         self.full_at = -inf
         self.heard_at = -inf  # it last answered a visit, or a time-out last counted against it
-        self.passed_at = -inf  # an answered fetch was sent then, the latest such
         self.latency = 0.0  # as last measured; see expected
         self.lowest = self.lowest_before = inf
         self.lowest_since = 0.0
@@ -439,7 +438,7 @@
         if end is End.DELIVERED or end is End.ERRORED or end is End.FULL:
             u.used_at = now
         elif end is End.TIMED_OUT:
-            if not f.silent and spent > LATENCY_MARK * lane.pace * u.expected(now, self._memory):
+            if not f.silent and spent > self._silent_after(u, lane, now):
                 self._silence(f, now)
             if f.rest > self._rest:
                 return  # guards: of a connection that was dropped unseen; it says nothing of the upstream
@@ -455,7 +454,6 @@
             u.served += 1
             u.run = 0.0
             u.doubts.pop(lane, None)
-            u.passed_at = max(u.passed_at, f.sent)
             u.heard_at = now
             if u.failing:
                 u.failing = False
@@ -503,6 +501,10 @@
         if doubt.run >= FAILURE_RUN:
             doubt.until = now + HOLD_DOWN
 
+    def _silent_after(self, u: Upstream, lane: Lane, now: float) -> float:
+        """How long a fetch is out that will hardly be answered: late, and far longer than expected."""
+        return max(lane.target, LATENCY_MARK * lane.pace * u.expected(now, self._memory))
+
     def _weight(self) -> float:
         """What one failure counts in a run: more where fewer fail by chance."""
         best = max((level.kept for level in self._levels if level.samples >= FEW), default=0.0)
@@ -811,11 +813,8 @@
                 # guards: a stuck upstream answers nothing that could be measured; its oldest fetch tells
                 expected = u.expected(now, self._memory)
                 for f in list(u.out):
-                    passed = f.sent < u.passed_at
-                    if not f.silent and now - f.sent > max(0.0 if passed else f.lane.target,
-                                                           LATENCY_MARK * f.lane.pace * expected):
+                    if now - f.sent > self._silent_after(u, f.lane, now):
                         self._silence(f, now)
-                    if f.silent:
                         # guards: what gets no answer holds no room and tells no latency
                         del u.out[f]
                         u.level.out -= 1
