--- a/ospreyline/decide.py
+++ b/ospreyline/decide.py
@@ -15,6 +15,7 @@
 from collections import deque
 from math import exp, inf, log
 from random import Random
+from struct import Struct
 
 from ospreyline.host import NEVER_RAN, Deployment, End, Host, Kind, Listed, PathPrefix, Readiness, Scope
 
@@ -50,6 +51,8 @@
 FURTHER = 2  # further backend fetches of a visit
 RESTED = 0.9  # of the shortest rest from which on connections are silent: what rests longer is replaced
 SILENT = 1 / 3  # share of silent ones among connections that rested as long, from which on it is their rest
+HINT = Struct("<BQ")  # what balancers tell one another: a path prefix and an upstream's mark, or a rest
+REST = 255  # in place of the path prefix: rests of so many ms are silent
 FORGIVE = 30_000.0  # ms for which a silent connection counts
 PROBE_SPEND = 0.002  # of the gain, the most that probes may cost
 PROBE_EVERY = 1_000.0  # ms between probes of an upstream, at most
@@ -135,8 +138,8 @@
 
     __slots__ = ("allowed", "cell", "cold_sends", "depth", "doubts", "drawn_at", "failing", "full_at",
                  "heard_at", "id", "latency", "level", "lowest", "lowest_before", "lowest_since", "mark",
-                 "measured_at", "out", "probed_at", "ready", "report", "report_at", "run", "samples", "sent_at", "served", "since",
-                 "start", "trial_at", "trial_out", "used_at", "zone")
+                 "measured_at", "out", "probed_at", "ready", "report", "report_at", "run", "samples",
+                 "sent_at", "served", "since", "start", "trial_at", "trial_out", "used_at", "zone")
 
     def __init__(self, line: Listed, level: Level) -> None:
         self.id = line.upstream
@@ -297,6 +300,8 @@
         self._max_fetches = terms.max_fetches
         self._may_cancel = terms.may_cancel
         self._rest = inf  # a connection that has rested longer is not trusted
+        self._may_tell = terms.may_tell
+        self._told_rests: deque[tuple[float, float]] = deque(maxlen=4)  # by others: when, and how long
         self._rests: deque[Fetch] = deque(maxlen=99)  # fetches on connections that had rested, latest last
         self._may_probe = terms.may_probe
         self._probe_fee = terms.probe_fee
@@ -321,6 +326,7 @@
         self._ask_wait = 500.0
         self._upstreams: dict[int, Upstream] = {}
         self._ring: list[Upstream] = []  # in an order that is the same at every balancer
+        self._marks: dict[int, Upstream] = {}
         self._place_in_ring = terms.number * GOLDEN % 1  # spread evenly, whichever numbers a zone has
         self._used_share = SHARED_BY * terms.zones / terms.balancers
         self._ready: list[Upstream] = []
@@ -377,6 +383,7 @@
             if start > u.start or not (was or first):
                 u.reborn(now, start)  # guards: a returning machine is cold, whatever was learnt of it
         if len(self._ring) < len(self._upstreams):
+            self._marks = {u.mark: u for u in self._upstreams.values()}
             self._ring = sorted(self._upstreams.values(), key=lambda u: u.mark * MIX & MASK)
         self._rank(now)
 
@@ -471,7 +478,7 @@
                 u.run += self._weight()
                 u.heard_at = now
             if end is End.ERRORED or end is End.RESET:
-                self._doubt(f, now, self._weight())
+                self._doubt(u, lane, now, self._weight())
             if end is not End.UNREACHED and not f.silent:
                 # guards: one that errors fast looks idle; each error is as bad as a late answer
                 self._measure(u, now, max(spent, lane.target), f)
@@ -490,16 +497,37 @@
             if sum(as_long) > SILENT * len(as_long):
                 self._rest = RESTED * rest
                 break
-        if f.rest <= self._rest:
-            self._doubt(f, now, FAILURE_RUN)
+        if f.rest > self._rest:
+            if self._may_tell and self._rest < RESTED * self._told_rest(now):
+                self._host.tell(HINT.pack(REST, int(self._rest)))
+        else:
+            self._doubt(f.upstream, f.lane, now, FAILURE_RUN)
 
-    def _doubt(self, f: Fetch, now: float, weight: float) -> None:
-        """Count a failure of a path prefix at an upstream, which a run of has it sent elsewhere."""
+    def _doubt(self, u: Upstream, lane: Lane, now: float, weight: float) -> bool:
+        """Count a failure of a path prefix at an upstream; whether a run of them newly sends it elsewhere."""
         # guards: an upstream that left one path prefix unanswered and served the others was never ejected
-        doubt = f.upstream.doubts.setdefault(f.lane, Doubt())
+        doubt = u.doubts.setdefault(lane, Doubt())
+        new = now >= doubt.until
         doubt.run += weight
         if doubt.run >= FAILURE_RUN:
-            doubt.until = now + HOLD_DOWN
+            # hundreds of balancers that were told do not make their trials at once
+            doubt.until = now + HOLD_DOWN * (1 + 2 * self._random() * self._may_tell)
+        return new and now < doubt.until
+
+    def heard(self, now: float, message: bytes) -> None:
+        """Another balancer's hint. Two make what one silence of our own makes; no rule rests on it."""
+        if len(message) != HINT.size:
+            return
+        place, figure = HINT.unpack(message)
+        if place == REST:
+            self._told_rests.append((now, float(figure)))
+        elif place < len(self._lanes) and (u := self._marks.get(figure)) is not None:
+            self._doubt(u, self._lanes[place], now, FAILURE_RUN / 2)
+
+    def _told_rest(self, now: float) -> float:
+        """The rest that two others have told of."""
+        told = sorted(rest for at, rest in self._told_rests if now - at < FORGIVE)
+        return told[1] if len(told) > 1 else inf
 
     def _silent_after(self, u: Upstream, lane: Lane, now: float) -> float:
         """How long a fetch is out that will hardly be answered: late, and far longer than expected."""
@@ -572,7 +600,7 @@
         if not self._may_go(visit, u, now):
             return False
         rest = 0.0 if u.out else max(0.0, now - u.used_at)
-        if rest > self._rest:
+        if rest > min(self._rest, self._told_rest(now) if self._told_rests else inf):
             # guards: something between us and the upstreams drops idle connections unseen, and what is sent
             # on one gets no answer. A new one costs the upstream some work
             self._host.drop(u.id)
--- a/ospreyline/drill/frames.py
+++ b/ospreyline/drill/frames.py
@@ -40,6 +40,8 @@
 _WAKE = Struct("<HQI")
 _PROBE = Struct("<H6s")  # and the drop of connections
 _TEXT = Struct("<HH")
+_TELL = Struct("<HHH")
+_ALL = 0xFFFF
 _FOLLOW = Struct("<HB")
 _FROM = Struct("<HI")
 
@@ -115,6 +117,9 @@
         end = _ENDS.get(how, End.ERRORED)
         self.balancer.probed(now, self._index(address), end, us / 1e3, report)
 
+    def heard(self, now: float, message: bytes) -> None:
+        self.balancer.heard(now, message)
+
     def sync(self, now: float, kind: int, lines: Lines) -> None:
         if kind == _FAILED:
             self.balancer.told_nothing(now)
@@ -161,6 +166,9 @@
     def drop(self, upstream: int) -> None:
         self._add(_PROBE.pack(7, self._addresses[upstream]))
 
+    def tell(self, message: bytes) -> None:
+        self._add(_TELL.pack(8, _ALL, len(message)) + message)
+
     def watch(self, on: bool) -> None:
         self._add(_FOLLOW.pack(11, on))
 
@@ -302,7 +310,7 @@
             size, call, fields = _HEAD.size, Instance.began, _HEAD.unpack_from(body, at)
         elif code == 9:
             size = _INBOX.size + _INBOX.unpack_from(body, at)[1]
-            return size  # other instances' words are not for the decisions
+            call, fields = Instance.heard, (body[at + _INBOX.size : at + size],)
         else:
             raise FrameError(f"unknown code {code} of an event")
         if instance is not None:
--- a/ospreyline/facts.py
+++ b/ospreyline/facts.py
@@ -56,6 +56,7 @@
     cancel: bool = False
     most_backend_fetches: int = 1
     max_retry_after_us: float = 0.0
+    may_tell: bool = False
     probing: bool = False
     retry_after: bool = False
     connect_timeout_us: float = 250_000.0
@@ -273,6 +274,7 @@
         max_fetches=caps.most_backend_fetches,
         may_cancel=caps.cancel,
         may_probe=caps.probing,
+        may_tell=caps.may_tell,
         max_retry_after=caps.max_retry_after_us / 1e3 if caps.retry_after else 0.0,
         ask_for_list=facts.discovery == "ask",
         must_ask_in=rules.must_ask_in_us / 1e3,
--- a/ospreyline/host.py
+++ b/ospreyline/host.py
@@ -99,6 +99,7 @@
     tip_after: float = 2_000.0
     cross_fee: float = 0.0  # share of the mean gain, for each backend fetch to another zone
     probe_fee: float = 0.0
+    may_tell: bool = False  # short messages to the other balancers, which may be lost
     worst_prefix: float = 0.0  # weight of the worst-served path prefix in the goal
     report_fields: tuple[str, ...] = field(default=())  # in-flight, queue, util, latency, rate, errors
 
@@ -127,6 +128,9 @@
     def drop(self, upstream: int) -> None:
         """Close the idle connections to an upstream: the next fetch opens a new one."""
 
+    def tell(self, message: bytes) -> None:
+        """Tell all other balancers, where the settings allow it; it may be lost."""
+
     def watch(self, on: bool) -> None:
         """Ask for the changes of the list from now on."""
 
--- a/ospreyline/net/turn.py
+++ b/ospreyline/net/turn.py
@@ -387,6 +387,9 @@
     def drop(self, upstream: int) -> None:
         self._to_do.append((lambda now: self.upstreams.peers[upstream].drop_idle(), ()))
 
+    def tell(self, message: bytes) -> None:
+        pass  # no way between balancers on sockets yet; what is told is only ever a hint
+
     def watch(self, on: bool) -> None:
         self._to_do.append((lambda now: self.discovery.watch(on), ()))
 
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -38,6 +38,7 @@
         self.cancelled: list[tuple[int, int]] = []
         self.probes: list[int] = []
         self.dropped: list[int] = []
+        self.told: list[bytes] = []
         self.watches: list[float] = []
         self.wakes: list[tuple[float, Callable[[float], None]]] = []
         self.tags = 0
@@ -65,6 +66,9 @@
     def drop(self, upstream: int) -> None:
         self.dropped.append(upstream)
 
+    def tell(self, message: bytes) -> None:
+        self.told.append(message)
+
     def watch(self, on: bool) -> None:
         self.watches.append(self.now)
 
