--- a/ospreyline/decide.py
+++ b/ospreyline/decide.py
@@ -52,6 +52,7 @@
 RESTED = 0.9  # of the shortest rest from which on connections are silent: what rests longer is replaced
 SILENT = 1 / 3  # share of silent ones among connections that rested as long, from which on it is their rest
 HINT = Struct("<BQ")  # what balancers tell one another: a path prefix and an upstream's mark, or a rest
+AGREE = 40  # balancers, for each of which one more must have told it
 REST = 255  # in place of the path prefix: rests of so many ms are silent
 FORGIVE = 30_000.0  # ms for which a silent connection counts
 PROBE_SPEND = 0.002  # of the gain, the most that probes may cost
@@ -301,7 +302,9 @@
         self._may_cancel = terms.may_cancel
         self._rest = inf  # a connection that has rested longer is not trusted
         self._may_tell = terms.may_tell
-        self._told_rests: deque[tuple[float, float]] = deque(maxlen=4)  # by others: when, and how long
+        # guards: by chance some of hundreds see silence where others do not, so as many must agree
+        self._told_rests: deque[tuple[float, float]] = deque(maxlen=2 + terms.balancers // AGREE)
+        self._told_rest = self._told_until = inf  # what so many have told, and how long it holds
         self._rests: deque[Fetch] = deque(maxlen=99)  # fetches on connections that had rested, latest last
         self._may_probe = terms.may_probe
         self._probe_fee = terms.probe_fee
@@ -326,7 +329,6 @@
         self._ask_wait = 500.0
         self._upstreams: dict[int, Upstream] = {}
         self._ring: list[Upstream] = []  # in an order that is the same at every balancer
-        self._marks: dict[int, Upstream] = {}
         self._place_in_ring = terms.number * GOLDEN % 1  # spread evenly, whichever numbers a zone has
         self._used_share = SHARED_BY * terms.zones / terms.balancers
         self._ready: list[Upstream] = []
@@ -383,7 +385,6 @@
             if start > u.start or not (was or first):
                 u.reborn(now, start)  # guards: a returning machine is cold, whatever was learnt of it
         if len(self._ring) < len(self._upstreams):
-            self._marks = {u.mark: u for u in self._upstreams.values()}
             self._ring = sorted(self._upstreams.values(), key=lambda u: u.mark * MIX & MASK)
         self._rank(now)
 
@@ -491,28 +492,27 @@
         f.silent = True
         late = [g for g in self._rests if now - g.sent < FORGIVE]
         self._rest = inf
-        for rest in sorted(g.rest for g in late if g.silent):
-            as_long = [g.silent for g in late if g.rest >= rest]
-            # guards: upstreams that are silent themselves are so after a short rest, too
-            if sum(as_long) > SILENT * len(as_long):
+        for rest in sorted(g.rest for g in late if g.silent and g.rest):
+            long = [g for g in late if g.rest >= rest]
+            silent = [g.lane for g in long if g.silent]
+            short = [g.silent for g in late if g.rest < rest]
+            # guards: upstreams that are slow, or silent themselves, are so after a short rest, too, and one
+            # silence, or those of one path prefix, may be the upstream's
+            if (len(silent) > max(SILENT, 2 * sum(short) / max(1, len(short))) * len(long)
+                    and len(set(silent)) > 1):
                 self._rest = RESTED * rest
+                if self._may_tell and self._rest < RESTED * self._told_rest:
+                    self._host.tell(HINT.pack(REST, int(self._rest)))
                 break
-        if f.rest > self._rest:
-            if self._may_tell and self._rest < RESTED * self._told_rest(now):
-                self._host.tell(HINT.pack(REST, int(self._rest)))
-        else:
-            self._doubt(f.upstream, f.lane, now, FAILURE_RUN)
+        self._doubt(f.upstream, f.lane, now, FAILURE_RUN)
 
-    def _doubt(self, u: Upstream, lane: Lane, now: float, weight: float) -> bool:
-        """Count a failure of a path prefix at an upstream; whether a run of them newly sends it elsewhere."""
+    def _doubt(self, u: Upstream, lane: Lane, now: float, weight: float) -> None:
+        """Count a failure of a path prefix at an upstream; a run of them sends it elsewhere."""
         # guards: an upstream that left one path prefix unanswered and served the others was never ejected
         doubt = u.doubts.setdefault(lane, Doubt())
-        new = now >= doubt.until
         doubt.run += weight
         if doubt.run >= FAILURE_RUN:
-            # hundreds of balancers that were told do not make their trials at once
-            doubt.until = now + HOLD_DOWN * (1 + 2 * self._random() * self._may_tell)
-        return new and now < doubt.until
+            doubt.until = now + HOLD_DOWN
 
     def heard(self, now: float, message: bytes) -> None:
         """Another balancer's hint. Two make what one silence of our own makes; no rule rests on it."""
@@ -521,13 +521,10 @@
         place, figure = HINT.unpack(message)
         if place == REST:
             self._told_rests.append((now, float(figure)))
-        elif place < len(self._lanes) and (u := self._marks.get(figure)) is not None:
-            self._doubt(u, self._lanes[place], now, FAILURE_RUN / 2)
-
-    def _told_rest(self, now: float) -> float:
-        """The rest that two others have told of."""
-        told = sorted(rest for at, rest in self._told_rests if now - at < FORGIVE)
-        return told[1] if len(told) > 1 else inf
+            if len(self._told_rests) == self._told_rests.maxlen and now - self._told_rests[0][0] < HOLD_DOWN:
+                self._told_rest = sorted(rest for _, rest in self._told_rests)[1]
+                self._told_until = now + FORGIVE
+                self._told_rests.clear()
 
     def _silent_after(self, u: Upstream, lane: Lane, now: float) -> float:
         """How long a fetch is out that will hardly be answered: late, and far longer than expected."""
@@ -599,15 +596,14 @@
         """The one place that sends."""
         if not self._may_go(visit, u, now):
             return False
-        rest = 0.0 if u.out else max(0.0, now - u.used_at)
-        if rest > min(self._rest, self._told_rest(now) if self._told_rests else inf):
+        rest = max(0.0, now - u.used_at)
+        if not u.out and rest > min(self._rest, self._told_rest):
             # guards: something between us and the upstreams drops idle connections unseen, and what is sent
             # on one gets no answer. A new one costs the upstream some work
             self._host.drop(u.id)
-            rest = 0.0
+            u.used_at, rest = now, 0.0
         f = Fetch(u, visit.lane, now, rest)
-        if rest:
-            self._rests.append(f)
+        self._rests.append(f)
         f.trial = trial
         if trial:
             u.trial_out = True
@@ -888,6 +884,8 @@
             u.served = 0
         if self._rests and now - self._rests[-1].sent > FORGIVE:
             self._rest = inf
+        if now > self._told_until:
+            self._told_rest = inf
         self._memory = max(FORGET, 1e3 * in_use / max(0.1, self._asked))
         self._weigh()
 
