--- a/ospreyline/decide.py
+++ b/ospreyline/decide.py
@@ -50,6 +50,7 @@
 MIX, MASK = 0xD6E8FEB86659FD93, (1 << 64) - 1  # to hash a key with an upstream's mark
 FURTHER = 2  # further backend fetches of a visit
 RESTED = 0.9  # of the shortest rest from which on connections are silent: what rests longer is replaced
+MIXED = 2 / 3  # of silences that are told, the most that one path prefix has
 SILENT = 1 / 3  # share of silent ones among connections that rested as long, from which on it is their rest
 HINT = Struct("<BQ")  # what balancers tell one another: a path prefix and an upstream's mark, or a rest
 AGREE = 40  # balancers, for each of which one more must have told it
@@ -496,12 +497,12 @@
             long = [g for g in late if g.rest >= rest]
             silent = [g.lane for g in long if g.silent]
             short = [g.silent for g in late if g.rest < rest]
-            # guards: upstreams that are slow, or silent themselves, are so after a short rest, too, and one
-            # silence, or those of one path prefix, may be the upstream's
-            if (len(silent) > max(SILENT, 2 * sum(short) / max(1, len(short))) * len(long)
-                    and len(set(silent)) > 1):
+            # guards: upstreams that are slow, or silent themselves, are so after a short rest, too
+            if len(silent) > max(SILENT, 2 * sum(short) / max(1, len(short))) * len(long):
                 self._rest = RESTED * rest
-                if self._may_tell and self._rest < RESTED * self._told_rest:
+                # guards: few silences, or mostly those of one path prefix, may be the upstreams'
+                if (self._may_tell and self._rest < RESTED * self._told_rest and len(silent) > 2
+                        and max(map(silent.count, silent)) <= len(silent) * MIXED):
                     self._host.tell(HINT.pack(REST, int(self._rest)))
                 break
         self._doubt(f.upstream, f.lane, now, FAILURE_RUN)
