--- a/ospreyline/decide.py
+++ b/ospreyline/decide.py
@@ -752,7 +752,10 @@
             ahead += len(other.held)
             if other is lane:
                 break
-        wait = 1e3 * ahead / self._flow if self._flow else inf
+        # guards: one asked now and then, or just started, sees little delivered in a second; what it has out
+        # tells as well when room comes
+        flow = max(self._flow, *(1e3 * level.out / level.latency for level in self._levels))
+        wait = 1e3 * ahead / flow if flow else inf
         if not self._ready or now + wait > self._hold_until(visit):
             self._give_up(visit, now)
             return
