--- a/ospreyline/facts.py
+++ b/ospreyline/facts.py
@@ -73,9 +73,12 @@
     worst_class: float = 0.0
     worst_tenant: float = 0.0
     worst_window: float = 0.0
+    availability: float = 0.0  # the mean of the nines, span by span
+    full_at_nines: float = 3.0  # the nines that count in full: a figure of that part, no weight
 
     def total(self) -> float:
-        return self.whole + self.worst_class + self.worst_tenant + self.worst_window
+        return (self.whole + self.worst_class + self.worst_tenant + self.worst_window
+                + self.availability)
 
 
 class _Feedback(_Wire):
