--- a/ospreyline/decide.py
+++ b/ospreyline/decide.py
@@ -140,8 +140,8 @@
 
     __slots__ = ("allowed", "cell", "cold_sends", "depth", "doubts", "drawn_at", "failing", "full_at",
                  "heard_at", "id", "latency", "level", "lowest", "lowest_before", "lowest_since", "mark",
-                 "measured_at", "out", "probed_at", "ready", "report", "report_at", "run", "samples",
-                 "sent_at", "served", "since", "start", "trial_at", "trial_out", "used_at", "zone")
+                 "measured_at", "out", "passed_at", "probed_at", "ready", "report", "report_at", "run",
+                 "samples", "sent_at", "served", "since", "start", "trial_at", "trial_out", "used_at", "zone")
 
     def __init__(self, line: Listed, level: Level) -> None:
         self.id = line.upstream
@@ -160,6 +160,7 @@
         self.trial_out = False
         self.full_at = -inf
         self.heard_at = -inf  # it last answered a visit, or a time-out last counted against it
+        self.passed_at = -inf  # an answered fetch was sent then, the latest such
         self.latency = 0.0  # as last measured; see expected
         self.lowest = self.lowest_before = inf
         self.lowest_since = 0.0
@@ -463,6 +464,7 @@
             u.served += 1
             u.run = 0.0
             u.doubts.pop(lane, None)
+            u.passed_at = max(u.passed_at, f.sent)
             u.heard_at = now
             if u.failing:
                 u.failing = False
@@ -841,7 +843,7 @@
                 # guards: a stuck upstream answers nothing that could be measured; its oldest fetch tells
                 expected = u.expected(now, self._memory)
                 for f in list(u.out):
-                    if now - f.sent > self._silent_after(u, f.lane, now):
+                    if now - f.sent > self._silent_after(u, f.lane, now) and f.sent < u.passed_at:
                         self._silence(f, now)
                         # guards: what gets no answer holds no room and tells no latency
                         del u.out[f]
