--- a/ospreyline/drill/frames.py
+++ b/ospreyline/drill/frames.py
@@ -98,10 +98,6 @@
             if visit.settled:
                 del self.visits[tid]
 
-    def began(self, now: float, tid: int, fetch: int, _at: bytes, _us: int) -> None:
-        if (visit := self.visits.get(tid)) is not None:
-            visit.began(now, fetch)
-
     def left(self, now: float, tid: int) -> None:
         if (visit := self.visits.get(tid)) is not None:
             visit.left(now)
@@ -307,7 +303,7 @@
         elif code == 6:
             size, call, fields = 4, Instance.left, _U32.unpack_from(body, at)
         elif code == 4:
-            size, call, fields = _HEAD.size, Instance.began, _HEAD.unpack_from(body, at)
+            return _HEAD.size  # no path prefix streams: its answer's end is told, too
         elif code == 9:
             size = _INBOX.size + _INBOX.unpack_from(body, at)[1]
             call, fields = Instance.heard, (body[at + _INBOX.size : at + size],)
--- a/ospreyline/facts.py
+++ b/ospreyline/facts.py
@@ -9,6 +9,7 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass
+from math import inf
 from pathlib import Path
 
 import msgspec
@@ -150,8 +151,7 @@
         `seed` and `known` are for a start alone, so they are not compared.
         """
         groups = {
-            "name": ("name",), "listen": ("listen",), "limits": ("sockets", "memory"),
-            "settings": ("terms", "prefix_names", "zone_names", "connect_time_out", "keep_idle")}
+            "name": ("name",), "listen": ("listen",), "limits": ("sockets", "memory")}
         return [key for key, fields in groups.items()
                 if any(getattr(self, f) != getattr(new, f) for f in fields)]
 
@@ -245,10 +245,36 @@
             raise FactError(f"{at}KeyScope: unknown {p.key_scope!r}")
         if not p.client_timeout_us > 0:
             raise FactError(f"{at}ClientTimeoutUs: {p.client_timeout_us} is no time")
+        for key, figure in (("TargetLatencyUs", p.target_latency_us), ("WindowUs", p.window_us),
+                            ("Gain", p.gain), ("LateGain", p.late_gain)):
+            if not 0 <= figure < inf:
+                raise FactError(f"{at}{key}: {figure} is under 0 or no figure")
     for key, span in (("ConnectTimeoutUs", facts.caps.connect_timeout_us),
                       ("KeepaliveUs", facts.caps.keepalive_us)):
         if not span > 0:
             raise FactError(f"{root}Caps.{key}: {span} is no time")
+    rules, goal = facts.invariants, facts.goal
+    for key, figure in (
+            ("Caps.MaxRetryAfterUs", facts.caps.max_retry_after_us),
+            ("Fees.CrossZone", facts.fees.cross_zone), ("Fees.Probe", facts.fees.probe),
+            ("Goal.Whole", goal.whole), ("Goal.WorstClass", goal.worst_class),
+            ("Goal.WorstTenant", goal.worst_tenant), ("Goal.WorstWindow", goal.worst_window),
+            ("Goal.Availability", goal.availability), ("Invariants.ColdFrom", rules.cold_from),
+            ("Invariants.OverloadFactor", rules.overload_factor),
+            ("Invariants.TipAfterUs", rules.tip_after_us), ("Invariants.WarmWithinUs", rules.warm_within_us)):
+        if not 0 <= figure < inf:
+            raise FactError(f"{root}{key}: {figure} is under 0 or no figure")
+    if not 0 < goal.full_at_nines < inf:
+        raise FactError(f"{root}Goal.FullAtNines: {goal.full_at_nines} is not over 0")
+    if not rules.must_ask_in_us > 0:
+        raise FactError(f"{root}Invariants.MustAskInUs: {rules.must_ask_in_us} is no time")
+    if facts.discovery not in ("ask", "push"):
+        raise FactError(f"{root}Discovery: unknown {facts.discovery!r}, 'ask' or 'push' is")
+    if facts.balancers < 1 or facts.caps.most_backend_fetches < 1:
+        key = "Balancers" if facts.balancers < 1 else "Caps.MostBackendFetches"
+        raise FactError(f"{root}{key}: under 1")
+    if len(set(facts.dcs)) < len(facts.dcs):
+        raise FactError(f"{root}Dcs: a zone is named twice")
     if facts.zone < 0 or facts.zone >= max(1, len(facts.dcs)):
         raise FactError(f"{root}Zone: {facts.zone} is not the place of a zone in Dcs")
     return facts
@@ -264,6 +290,7 @@
             client_timeout=p.client_timeout_us / 1e3,
             gain=p.gain,
             late_gain=p.late_gain,
+            name=p.name,
         )
         for p in facts.path_prefixes
     )
@@ -288,5 +315,6 @@
         cross_fee=facts.fees.cross_zone,
         probe_fee=facts.fees.probe,
         worst_prefix=facts.goal.worst_class / max(1e-9, facts.goal.total()),
+        zone_names=tuple(facts.dcs) or ("",),
         report_fields=tuple(REPORT_WORDS.get(f, f) for f in facts.feedback.fields),
     )
--- a/ospreyline/host.py
+++ b/ospreyline/host.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from enum import Enum, IntEnum
 from typing import Protocol
 
@@ -76,6 +76,7 @@
     client_timeout: float
     gain: float
     late_gain: float  # share of the gain for an answer between target latency and client timeout
+    name: str = ""  # tells the same path prefix after a reload, nothing else
 
 
 @dataclass(slots=True, frozen=True)
@@ -101,7 +102,8 @@
     probe_fee: float = 0.0
     may_tell: bool = False  # short messages to the other balancers, which may be lost
     worst_prefix: float = 0.0  # weight of the worst-served path prefix in the goal
-    report_fields: tuple[str, ...] = field(default=())  # in-flight, queue, util, latency, rate, errors
+    zone_names: tuple[str, ...] = ()  # tell the same zones after a reload, nothing else
+    report_fields: tuple[str, ...] = ()  # in-flight, queue, util, latency, rate, errors
 
 
 class Host(Protocol):
