Settings switch in a running balancer, both ways; a pushed list comes on sockets, too

SIGHUP loads the file whole or not at all: settings and discovery hold from then on, name, listen and limits wait for a restart. Turn.adopt decides what came before under the old settings, then sets all in one turn and tells the list anew.

--- a/ospreyline/__main__.py
+++ b/ospreyline/__main__.py
@@ -81,9 +81,16 @@
     post = _post(config)
     click.echo(f"{post.name}: listens on {post.listen[0]}:{post.listen[1]}, "
                f"zone {post.zone_names[post.terms.zone]!r}, {post.sockets} descriptors")
-    for name, terms in zip(post.prefix_names, post.terms.prefixes, strict=True):
-        click.echo(f"/{name}: {terms.kind.value}, target latency {terms.target_latency:g} ms, "
-                   f"client timeout {terms.client_timeout:g} ms, gain {terms.gain:g}")
+    terms = post.terms
+    listed = "asked for" if terms.ask_for_list else "pushed"
+    messages = "on" if terms.may_tell else "off"
+    click.echo(f"{terms.balancers} balancers, number {terms.number}, {terms.zones} zones, "
+               f"the list is {listed}, messages {messages}")
+    click.echo(f"of the goal: worst prefix {terms.worst_prefix:.3g}, nines {post.nines:.3g} "
+               f"(in full at {post.full_at_nines:g})")
+    for name, prefix in zip(post.prefix_names, terms.prefixes, strict=True):
+        click.echo(f"/{name}: {prefix.kind.value}, target latency {prefix.target_latency:g} ms, "
+                   f"client timeout {prefix.client_timeout:g} ms, gain {prefix.gain:g}")
 
 
 @main.command(name="version")
--- a/ospreyline/facts.py
+++ b/ospreyline/facts.py
@@ -144,6 +144,8 @@
     zone_names: tuple[str, ...]
     connect_time_out: float
     keep_idle: float  # how long an upstream keeps an idle connection
+    nines: float  # weight of the nines in the goal; with full_at_nines read and checked, and no decision's
+    full_at_nines: float
 
     def needs_restart(self, new: Post) -> list[str]:
         """The keys that differ in a new file and that a reload leaves as they are.
@@ -207,6 +209,8 @@
         zone_names=tuple(facts.dcs) or ("",),
         connect_time_out=facts.caps.connect_timeout_us / 1e3,
         keep_idle=facts.caps.keepalive_us / 1e3,
+        nines=facts.goal.availability / max(1e-9, facts.goal.total()),
+        full_at_nines=facts.goal.full_at_nines,
     )
 
 
--- a/ospreyline/net/discovery.py
+++ b/ospreyline/net/discovery.py
@@ -171,6 +171,10 @@
         self.rev = 0  # guards: the new service may count otherwise, so it is asked for all that it has
         self.watch(True)
 
+    @property
+    def watching(self) -> bool:
+        return self._watch is not None
+
     def watch(self, on: bool) -> None:
         """Watch the list from now on, by a new call, or no longer."""
         old, self._watch = self._watch, None
--- a/ospreyline/net/service.py
+++ b/ospreyline/net/service.py
@@ -9,6 +9,7 @@
 import sys
 from collections.abc import Callable
 from contextlib import suppress
+from dataclasses import replace
 from typing import TextIO, cast
 
 import structlog
@@ -20,9 +21,15 @@
 TIDY = 0.25  # s between two rounds over idle connections and silent calls
 COUNTS = 20  # rounds between two lines of counts
 KEEP_ACCEPTING = 0.5  # s after the signal to stop: new connections still come
+SETTINGS = ("terms", "prefix_names", "zone_names", "connect_time_out", "keep_idle")
 LAST_ANSWERS = 0.6  # s on top of the longest client timeout, then what is left is answered anyhow
 
 
+def _longest(post: Post) -> float:
+    """The longest client timeout, s."""
+    return max((p.client_timeout for p in post.terms.prefixes), default=0.0) / 1e3
+
+
 class Service:
     """One balancer from its start to its end."""
 
@@ -33,6 +40,7 @@
         self.turn = Turn(loop, post)
         self.clients = Clients(loop, self.turn, self.turn.most_clients)
         self.at = post.listen
+        self._longest = _longest(post)  # s: a visit that was taken under former settings may have that long
         self._rounds = 0
         self._tidying: asyncio.TimerHandle | None = None
 
@@ -44,7 +52,7 @@
                        sockets=self._post.sockets)
 
     def reload(self, reread: Callable[[], Post]) -> None:
-        """The file of the configuration may be new: discovery moves, the rest holds until a restart."""
+        """The file of the configuration may be new: its settings and discovery hold from now on."""
         if self.turn.closing:
             return
         try:
@@ -55,7 +63,15 @@
         if restart := self._post.needs_restart(new):
             self._log.warning("changes that need a restart", keys=restart)
         moved = new.discovery != self.turn.discovery.at
-        self._log.info("reloaded", discovery="{}:{}".format(*new.discovery), moved=moved)
+        # what needs a restart stays as it is
+        new = replace(new, name=self._post.name, listen=self._post.listen, sockets=self._post.sockets,
+                      memory=self._post.memory)
+        settings = any(getattr(self._post, key) != getattr(new, key) for key in SETTINGS)
+        if settings:
+            self.turn.adopt(new)
+            self._longest = max(self._longest, _longest(new))
+        self._post = new
+        self._log.info("reloaded", discovery="{}:{}".format(*new.discovery), moved=moved, settings=settings)
         if moved:
             self.turn.discovery.move(new.discovery)
 
@@ -64,10 +80,9 @@
         began = self._loop.time()
         self._log.info("stopping", visits=len(self.turn.visits))
         self.turn.closing = True
-        longest = max((p.client_timeout for p in self._post.terms.prefixes), default=0.0) / 1e3
         await asyncio.sleep(KEEP_ACCEPTING)
         self.clients.stop_listening()
-        while self._loop.time() < began + longest + LAST_ANSWERS:
+        while self._loop.time() < began + self._longest + LAST_ANSWERS:
             self.clients.finish_idle()
             if not self.clients.busy() and not self.clients.open:
                 break
--- a/ospreyline/net/turn.py
+++ b/ospreyline/net/turn.py
@@ -15,6 +15,7 @@
 from typing import Any
 
 import structlog
+from msgspec import structs
 
 from ospreyline.decide import Balancer, Visit
 from ospreyline.facts import Post
@@ -58,16 +59,13 @@
     def __init__(self, loop: asyncio.AbstractEventLoop, post: Post) -> None:
         self.logger: Any = structlog.get_logger()
         self.closing = False
-        self.prefixes = {name.encode(): i for i, name in enumerate(post.prefix_names)}
-        self.tagged = frozenset(
-            i for i, terms in enumerate(post.terms.prefixes) if terms.kind is Kind.TAGGED)
         self.visits: dict[int, Taken] = {}
         self._ids: set[bytes] = set()  # of the open ones
         self.counts: Counter[str] = Counter()
         self.latencies: list[float] = []  # ms, of the visits delivered since the last line of counts
         self.lag = 0.0  # ms, the most that a timer came late since then
         self._loop = loop
-        self._post = post
+        self._set(post)
         self._tags = 0
         self._noted: list[tuple[Callable[..., None], tuple[Any, ...]]] = []
         self._to_do: list[tuple[Callable[..., None], tuple[Any, ...]]] = []
@@ -78,16 +76,14 @@
         self._scheduled = False
         self._unix_offset = time.time() * 1e3 - clock()  # once: start times must not wander with the clock
         self._indices: dict[str, int] = {}
-        self._zones = {name: i for i, name in enumerate(post.zone_names)}
         self._states: dict[str, Readiness] = {}
         self._gone: dict[str, float] = {}  # since when, oldest first
-        self._places: dict[int, tuple[int, int]] = {}  # zone and cell, by upstream
+        self._targets: dict[str, Target] = {}  # the latest of each, with its place
         # descriptors: some for the loop, the listener and discovery; half of the rest for each side
         part = (post.sockets - 32) // 2
         self.most_clients = part
         self.upstreams = Upstreams(loop, clock, part, post.connect_time_out, post.keep_idle,
                                    post.memory // 8)
-        self._reports = post.terms.report_fields
         known = discovery.read(post.known, self.logger)
         self.discovery = Discovery(loop, post.discovery, known.rev if known else 0, self.logger,
                                    tell=lambda news: self.note(self._told, news),
@@ -95,8 +91,32 @@
         now = clock()
         self.balancer = Balancer(self, post.terms, post.seed, now)
         self.balancer.told_all(now, self._lines(known) if known else [])
+        if not post.terms.ask_for_list:
+            self.discovery.watch(True)  # to the decisions it comes by itself: here a watch brings it
         self.note(lambda now: None)  # the first turn carries out what the start asked for
 
+    def _set(self, post: Post) -> None:
+        self._post = post
+        self.prefixes = {name.encode(): i for i, name in enumerate(post.prefix_names)}
+        self.tagged = frozenset(
+            i for i, terms in enumerate(post.terms.prefixes) if terms.kind is Kind.TAGGED)
+        self._zones = {name: i for i, name in enumerate(post.zone_names)}
+        self._reports = post.terms.report_fields
+
+    def adopt(self, post: Post) -> None:
+        """New settings, already checked: what came before is decided under the old ones, the rest by them."""
+        self._turn()
+        now = clock()
+        self._set(post)
+        self.upstreams.adopt(post.connect_time_out, post.keep_idle)
+        self.balancer.set_terms(now, post.terms)
+        # guards: told as a first list it renews no subscription, and what is cold or drained stays so
+        lines = [self._line(target, self._indices[uid]) for uid, target in self._targets.items()]
+        self.balancer.told_changes(now, lines, first=True)
+        if not post.terms.ask_for_list and not self.discovery.watching:
+            self.discovery.watch(True)
+        self._turn()
+
     # -- the turn -----------------------------------------------------------------------------------------
 
     def note(self, call: Callable[..., None], *args: Any) -> None:
@@ -313,19 +333,20 @@
             for uid, upstream in self._indices.items():
                 if uid not in named and self._states.get(uid) is not Readiness.GONE:
                     self._note_state(uid, Readiness.GONE, None)
+                    self._targets[uid] = structs.replace(self._targets[uid], state="left")
                     self.upstreams.peers[upstream].withdraw()
         return lines
 
     def _line(self, target: Target, upstream: int) -> Listed:
         # guards: an entry that leaves out its place (one that is gone may) must not move the upstream, as
         # repeats of what may have run there go by it. One never seen counts to the last zone that we spill to
-        was_zone, was_cell = self._places.get(
-            upstream, ((self._post.terms.zone - 1) % self._post.terms.zones, 0))
-        zone = self._zones.get(target.az, was_zone)
+        was = self._targets.get(target.uid, target)
         if target.az and target.az not in self._zones:
             self.logger.warning("unknown zone in the list", uid=target.uid, zone=target.az)
-        cell = was_cell if target.pod_group is None else target.pod_group
-        self._places[upstream] = zone, cell
+        az = target.az if target.az in self._zones or not was.az else was.az
+        cell = was.pod_group or 0 if target.pod_group is None else target.pod_group
+        self._targets[target.uid] = structs.replace(target, az=az, pod_group=cell)
+        zone = self._zones.get(az, (self._post.terms.zone - 1) % self._post.terms.zones)
         return Listed(
             upstream=upstream,
             mark=int.from_bytes(blake2b(target.uid.encode(), digest_size=8).digest(), "big"),
@@ -352,7 +373,7 @@
             if now - since < FORGET or self.upstreams.peers[upstream].errands or len(self._indices) == 1:
                 return
             self.balancer.forget(upstream)
-            del self._gone[uid], self._indices[uid], self._states[uid], self._places[upstream]
+            del self._gone[uid], self._indices[uid], self._states[uid], self._targets[uid]
             del self.upstreams.peers[upstream]
 
     # -- what the decisions ask for -----------------------------------------------------------------------
--- a/ospreyline/net/upstreams.py
+++ b/ospreyline/net/upstreams.py
@@ -393,12 +393,16 @@
         self.most_open = most_open
         self.most_held = most_held
         self.held = 0  # bytes of answers that are not yet whole
-        self.connect_time_out = connect_time_out
-        self.keep_idle = KEEP_SHARE * keep_idle
+        self.adopt(connect_time_out, keep_idle)
         self.peers: dict[int, Peer] = {}
         self._added = -1
         self.open: dict[Conn, None] = {}
 
+    def adopt(self, connect_time_out: float, keep_idle: float) -> None:
+        """Figures of the settings, at the start and on a reload; they hold for connections that rest, too."""
+        self.connect_time_out = connect_time_out
+        self.keep_idle = KEEP_SHARE * keep_idle
+
     def add(self, at: tuple[str, int]) -> int:
         self._added += 1  # never given out again: a late word of one that is forgotten must not meet another
         self.peers[self._added] = Peer(self, at)
