--- a/tests/test_switch.py
+++ b/tests/test_switch.py
@@ -27,7 +27,7 @@
 
 
 class Ledger(Peer):
-    """A server that works for some milliseconds; `gate` holds its answers back, one in `spoilt` breaks off."""
+    """Works for some milliseconds; `gate` holds its answers back, each `spoilt`th breaks off."""
 
     def __init__(self, spoilt: int = 0) -> None:
         super().__init__()
