--- a/ospreyline/regression.py
+++ b/ospreyline/regression.py
@@ -14,6 +14,8 @@
 import click
 import msgspec
 
+# their entries stay in the journal and count no more
+CLOSED = frozenset(("portal-ljubljana", "portal-ljubljana-later", "quito-registro", "quito-registro-later"))
 FALL = 0.03  # of a figure, that has to be explained before anything else is begun
 
 
@@ -134,11 +136,11 @@
     """The state of each call, in the order of their names; `run` oldest first.
 
     A run that was cut short before it knew its site counts as no call; one whose files were edited while it
-    ran is passed over, since its figure is of no text.
+    ran is passed over, since its figure is of no text; so are those of deployments that are closed.
     """
     calls: dict[str, list[Entry]] = {}
     for entry in run:
-        if entry.call and not entry.edited_meanwhile:
+        if entry.call and not entry.edited_meanwhile and entry.site not in CLOSED:
             calls.setdefault(entry.call, []).append(entry)
     out = []
     for call in sorted(calls):
--- a/tests/test_regression.py
+++ b/tests/test_regression.py
@@ -60,6 +60,7 @@
     entry(journal, "e", "2026-01-05T00:00:00Z", edited_meanwhile=True)
     entry(journal, "f", "2026-01-06T00:00:00Z", site=None, panel=None, ok=False)
     entry(journal, "g", "2026-01-07T00:00:00Z", cmd="replay")
+    entry(journal, "h", "2026-01-08T00:00:00Z", site="quito-registro")
     assert [(s.call, s.last.id) for s in state_of(journal)] == [
         ("in service, s, full", "c"), ("simulated, s, quick", "d"), ("standing, s, full", "a"),
         ("standing, s, quick", "b")]
