--- a/ospreyline/decide.py
+++ b/ospreyline/decide.py
@@ -671,8 +671,8 @@
         if lane not in self._by_value:
             self._by_value.append(lane)  # a former one: its terms are no longer those of new visits
         ahead = 1 + sum(len(other.held) for other in self._by_value[:self._by_value.index(lane) + 1])
-        # guards: one asked now and then, or just started, sees little delivered; what is out tells, too
-        flow = max(self._flow, *(1e3 * level.out / level.latency for level in self._levels))
+        # guards: one that has just started has seen nothing delivered; what is out tells when room comes
+        flow = self._flow or sum(1e3 * level.out / level.latency for level in self._levels)
         wait = 1e3 * ahead / flow if flow else inf
         if not self._ready or now + wait > self._hold_until(visit):
             return self._give_up(visit, now)
@@ -847,7 +847,7 @@
             count = min(1.0, (now - u.since) / RAMP) / (2 if high or now - u.full_at < FULL_MEMORY else 1)
             # E6: one that we have not met for long is as likely up as those of its zone that we have met
             counts[u.zone] += count * (reach[u.zone] if now - u.measured_at > FORGET else 1.0)
-        own = max(self._asked, self._taken) * self._base / 1e3 / OWN
+        own = (self._flow or self._taken) * self._base / 1e3 / OWN
         for level, ring in zip(self._levels, rings, strict=True):
             # E7: of hundreds each uses the next few in the ring. Guards: one asked far more crowded its few
             first, level.healthy = int(self._place_in_ring * len(ring)), []
