--- a/ospreyline/decide.py
+++ b/ospreyline/decide.py
@@ -124,8 +124,7 @@
     since: float = -inf  # it is new, or has returned, since then
     out: dict[Fetch, None] = field(default_factory=dict)  # oldest first
     run: float = 0.0
-    runs: dict[Lane, float] = field(default_factory=dict)  # by path prefix, whether or not others are served
-    until: dict[Lane, float] = field(default_factory=dict)  # no visit of it before, then one trial
+    until: dict[Lane, float] = field(default_factory=dict)  # no visit of it before, then a trial
     failing: bool = False
     trial_at: float = 0.0
     trial_out: bool = False
@@ -157,7 +156,6 @@
         self.run = self.report = self.samples = 0.0
         self.measured_at = self.report_at = -inf
         self.depth, self.lowest, self.lowest_before = 1.0, inf, inf
-        self.runs.clear()
         self.until.clear()
         self.cold_sends.clear()
 
@@ -420,7 +418,6 @@
         if end is End.DELIVERED:
             u.served += 1
             u.run = 0.0
-            u.runs.pop(lane, None)
             u.until.pop(lane, None)
             u.passed_at = max(u.passed_at, f.sent)
             u.heard_at = now
@@ -435,8 +432,6 @@
                 # guards: one that answers others is not stuck; a pause met by several visits is one failure
                 u.run += weight
                 u.heard_at = now
-            if end is End.ERRORED or end is End.RESET:
-                self._doubt(u, lane, now, weight)
             if end is not End.UNREACHED and not f.silent:
                 # guards: one that errors fast looks idle; each error is as bad as a late answer
                 latency = max(spent, lane.target)
@@ -464,14 +459,8 @@
                         and max(map(silent.count, silent)) <= len(silent) * MIXED):
                     self._host.tell(HINT.pack(int(self._rest)))
                 break
-        self._doubt(f.upstream, f.lane, now, FAILURE_RUN)
-
-    def _doubt(self, u: Upstream, lane: Lane, now: float, weight: float) -> None:
-        """Count a failure of a path prefix at an upstream; a run of them sends it elsewhere."""
         # guards: an upstream that left one path prefix unanswered and served the others was never ejected
-        u.runs[lane] = u.runs.get(lane, 0.0) + weight
-        if u.runs[lane] >= FAILURE_RUN:
-            u.until[lane] = now + HOLD_DOWN
+        f.upstream.until[f.lane] = now + HOLD_DOWN
 
     def heard(self, now: float, message: bytes) -> None:
         """Another balancer's hint that connections are silent after a rest; no rule rests on it."""
@@ -484,7 +473,9 @@
 
     def _silent_after(self, u: Upstream, lane: Lane, now: float) -> float:
         """How long a fetch is out that will hardly be answered: late, and far longer than expected."""
-        return max(lane.target, LATENCY_MARK * lane.pace * u.expected(now, self._memory))
+        # where late answers have no gain a fetch ends at its target latency (E4), and that tells slowness
+        usual = LATENCY_MARK * lane.pace * u.expected(now, self._memory)
+        return max(lane.target, usual) if lane.late_gain else inf
 
     def _close(self, visit: Visit, now: float) -> None:
         """The visit is over: what is still out for it is called off."""
