--- a/ospreyline/__main__.py
+++ b/ospreyline/__main__.py
@@ -26,7 +26,8 @@
 
 
 # name: module and command
-FURTHER = {"lab": ("ospreyline.lab.command", "lab"), "regression": ("ospreyline.regression", "command")}
+FURTHER = {"lab": ("ospreyline.lab.command", "lab"), "pairs": ("ospreyline.pairs", "command"),
+           "regression": ("ospreyline.regression", "command")}
 
 
 class Groups(click.Group):
