The rig's parts: relays, stand-ins, keeper, referee; the words for faults below laboratory and rig

The parts stand, each a process of its own that ends with its orders; the referee reads clients, relays and stand-ins only. The laboratory's fault words and their parser moved below both (lab/words.py), which undid the circle between lab/faults.py and lab/run.py.

--- a/ospreyline/__main__.py
+++ b/ospreyline/__main__.py
@@ -27,7 +27,7 @@
 
 # name: module and command
 FURTHER = {"lab": ("ospreyline.lab.command", "lab"), "pairs": ("ospreyline.pairs", "command"),
-           "regression": ("ospreyline.regression", "command")}
+           "regression": ("ospreyline.regression", "command"), "rig": ("ospreyline.rig.command", "rig")}
 
 
 class Groups(click.Group):
--- a/ospreyline/lab/arms.py
+++ b/ospreyline/lab/arms.py
@@ -20,8 +20,8 @@
 from ospreyline import decide
 from ospreyline.host import NEVER_RAN, Deployment, End, Host, Kind, Listed, PathPrefix, Readiness, Scope
 from ospreyline.lab.bank import Balancer, Maker, Policy
-from ospreyline.lab.scenario import ScenarioError
 from ospreyline.lab.servers import Server
+from ospreyline.lab.words import ScenarioError
 
 
 class Held:
--- a/ospreyline/lab/command.py
+++ b/ospreyline/lab/command.py
@@ -15,7 +15,8 @@
 from ospreyline.lab import scenario as scenarios
 from ospreyline.lab.arms import HELP
 from ospreyline.lab.records import RecordError
-from ospreyline.lab.scenario import Scenario, ScenarioError
+from ospreyline.lab.scenario import Scenario
+from ospreyline.lab.words import ScenarioError
 
 FIGURE = click.option(
     "--figure", "figures", multiple=True, default=("net_gain",), show_default=True,
--- a/ospreyline/lab/faults.py
+++ b/ospreyline/lab/faults.py
@@ -1,4 +1,4 @@
-"""What goes wrong: scripted faults, and days of faults drawn from ranges.
+"""What goes wrong in the laboratory: scripted faults carried out on the model; the words are in `words`.
 
 Each kind is a method of `Script`; it acts at its time and is taken back at its end. Faults may overlap:
 factors multiply, cuts count, a server that another fault killed stays dead until both are over.
@@ -9,42 +9,34 @@
 from collections.abc import Callable, Sequence
 from functools import partial
 from math import ceil
-from typing import TYPE_CHECKING, Any
-
-import numpy as np
+from typing import Any, Protocol
 
 from ospreyline.host import Readiness
-from ospreyline.lab.scenario import Fault, Scenario
+from ospreyline.lab.clients import Clients, Front
+from ospreyline.lab.links import Links
+from ospreyline.lab.registry import Registry
+from ospreyline.lab.scenario import Group, Scenario
 from ospreyline.lab.servers import Server
+from ospreyline.lab.words import Fault
+from ospreyline.lab.world import Streams, World
+
+
+class Day(Protocol):
+    """What a script acts on."""
 
-if TYPE_CHECKING:
-    from ospreyline.lab.run import Run
-
-# ranges that drawn faults come from, mildest end first: for_s, part, size, extra
-RANGES: dict[str, tuple[tuple[float, float], ...]] = {
-    "slow": ((5, 20), (0.05, 0.25), (2, 8), (0, 0)),
-    "pause": ((5, 20), (0.1, 0.4), (50, 500), (3, 1)),
-    "crash": ((5, 20), (0.05, 0.25), (0, 0), (0, 0)),
-    "zone-loss": ((5, 20), (0, 0), (1, 0.5), (0, 0)),
-    "flap": ((10, 30), (0, 0), (2, 3), (0, 0)),
-    "cut": ((4, 12), (0, 0), (0, 0), (0, 0)),
-    "roll": ((30, 15), (0.3, 0.8), (0.05, 0.2), (2, 4)),
-    "shrink": ((20, 8), (0.1, 0.3), (0, 0), (2, 4)),
-    "grow": ((10, 10), (0.1, 0.5), (0, 0), (0, 0)),
-    "restart": ((30, 8), (0.5, 1), (0.05, 0.2), (0.2, 1.5)),
-    "kill": ((1, 5), (0.1, 0.7), (0, 0), (0, 0)),
-    "burst": ((3, 10), (0, 0), (1.3, 2.2), (2, 0.2)),
-    "heavy-tail": ((10, 25), (0, 0), (5, 20), (0.005, 0.03)),
-    "neighbour": ((10, 30), (0.1, 0.4), (0.3, 0.7), (1, 4)),
-    "errors": ((5, 20), (0.05, 0.2), (0.2, 1), (0, 0)),
-    "mute": ((5, 15), (0.05, 0.2), (0, 0), (0, 0)),
-    "uneven": ((10, 25), (0.1, 0.3), (3, 10), (4, 2)),
-    "lossy": ((10, 20), (0, 0), (0.005, 0.03), (0, 0)),
-    "registry-down": ((5, 20), (0, 0), (0, 0), (0, 0)),
-    "registry-late": ((10, 30), (0, 0), (2, 6), (0, 0)),
-    "registry-moved": ((1, 1), (0, 0), (0, 0), (0, 0)),
-    "skew": ((10, 30), (0, 0), (1.3, 2.5), (0, 0)),
-}
+    scenario: Scenario
+    world: World
+    streams: Streams
+    links: Links
+    registry: Registry
+    servers: list[Server]
+    retired: set[Server]
+    front: Front
+    clients: Clients
+
+    def kill(self, number: int, told: bool = False) -> None: ...
+    def start(self, number: int) -> None: ...
+    def add_server(self, group: Group, zone: int, cell: int = -1) -> Server: ...
 
 
 def _each(calls: Sequence[Callable[[], Any]]) -> None:
@@ -52,43 +44,10 @@
         call()
 
 
-def drawn(scenario: Scenario, generator: np.random.Generator) -> list[Fault]:
-    """Faults of one day, from the ranges above; the same generator gives the same day."""
-    kinds = scenario.chance.kinds or sorted(RANGES)
-    out = []
-    for _ in range(scenario.chance.count):
-        kind = kinds[int(generator.integers(len(kinds)))]
-        hardness = [float(generator.random()) * (1 - scenario.chance.mildness) for _ in range(4)]
-        for_s, part, size, extra = (
-            low + h * (high - low) for h, (low, high) in zip(hardness, RANGES[kind], strict=True)
-        )
-        for_s = min(for_s, 0.7 * scenario.day.seconds)
-        at_s = 0.1 * scenario.day.seconds + float(generator.random()) * max(
-            0.0, 0.8 * scenario.day.seconds - for_s
-        )
-        zone = scenario.zones.names[int(generator.integers(len(scenario.zones.names)))]
-        silent = bool(generator.random() < 0.5) and kind in ("zone-loss", "crash")
-        out.append(
-            Fault(
-                kind,
-                round(at_s, 2),
-                round(for_s, 2),
-                round(part, 3),
-                zone,
-                "",
-                round(size, 3),
-                round(extra, 3),
-                "",
-                silent,
-            )
-        )
-    return out
-
-
 class Script:
     """Carries out the faults of a run."""
 
-    def __init__(self, run: Run, faults: list[Fault]) -> None:
+    def __init__(self, run: Day, faults: list[Fault]) -> None:
         self.run = run
         self.world = run.world
         self._draw = run.streams.uniform("faults")
--- a/ospreyline/lab/run.py
+++ b/ospreyline/lab/run.py
@@ -11,13 +11,14 @@
 from ospreyline.lab import arms
 from ospreyline.lab.bank import Balancer, Reports, Surroundings
 from ospreyline.lab.clients import Clients, Front, Want
-from ospreyline.lab.faults import Script, drawn
+from ospreyline.lab.faults import Script
 from ospreyline.lab.links import Links
 from ospreyline.lab.records import Folder, Records, quantiles
 from ospreyline.lab.referee import Referee
 from ospreyline.lab.registry import Registry
 from ospreyline.lab.scenario import KINDS, SCOPES, Group, Scenario, Span
 from ospreyline.lab.servers import Server
+from ospreyline.lab.words import RANGES, drawn
 from ospreyline.lab.world import Streams, World
 
 
@@ -74,7 +75,10 @@
         self.referee = Referee(self.world, scenario)
         self.records = Records(self.world, scenario, self.folder, self.servers, visits)
         self.watching = Both(self.referee, self.records)
-        self.script = Script(self, scenario.faults + drawn(scenario, self.streams.generator("chance")))
+        chance = scenario.chance
+        self.script = Script(self, scenario.faults + drawn(
+            chance, chance.kinds or sorted(RANGES), scenario.day.seconds, scenario.zones.names,
+            self.streams.generator("chance")))
         for group in scenario.servers:
             for _ in range(group.count):
                 zone = (
--- a/ospreyline/lab/scenario.py
+++ b/ospreyline/lab/scenario.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import re
 import tomllib
 from collections.abc import Iterator, Mapping
 from difflib import get_close_matches
@@ -18,25 +17,19 @@
 import msgspec
 
 from ospreyline.host import Kind, Scope
+from ospreyline.lab import words
+from ospreyline.lab.words import FAULTS, Chance, Fault, Part, ScenarioError, numbers, worded
 
 Span = float | tuple[float, float]  # a value, or the range it is drawn from
 
 
-class ScenarioError(ValueError):
-    """A scenario, or what was asked of one, cannot be used; one line that names the key."""
-
-
-class _Part(msgspec.Struct, forbid_unknown_fields=True, omit_defaults=False):
-    """A table of the file; an unknown key is an error."""
-
-
-class Day(_Part):
+class Day(Part):
     seconds: float = 60.0
     settle: float = 0.0  # s at the start that no figure counts
     window: float = 1.0  # s of one row of the records over time
 
 
-class Bank(_Part):
+class Bank(Part):
     """The balancers."""
 
     count: int = 3
@@ -50,12 +43,12 @@
     max_fetches: int = 3
 
 
-class Zones(_Part):
+class Zones(Part):
     names: list[str] = msgspec.field(default_factory=lambda: ["a"])
-    traffic: list[float] = []  # weights, even where left out
+    traffic: list[float] = msgspec.field(default_factory=list)  # weights, even where left out
 
 
-class Crowd(_Part):
+class Crowd(Part):
     """Servers that turn slow when they hold too much, and stay so until they have rested."""
 
     at: float = 0.0  # times the root of the cores, over the cores, held on the mean; 0: never
@@ -66,7 +59,7 @@
     most_ms: float = 25_000.0
 
 
-class Memory(_Part):
+class Memory(Part):
     """Keys that a server met of late cost it less."""
 
     gain: float = 0.0  # share of the work saved; 0: none
@@ -74,7 +67,7 @@
     keys_per_core: int = 100
 
 
-class Group(_Part):
+class Group(Part):
     """Servers of one make."""
 
     count: int = 6
@@ -105,7 +98,7 @@
     memory: Memory = msgspec.field(default_factory=Memory)
 
 
-class Links(_Part):
+class Links(Part):
     """The network, one way."""
 
     same_ms: float = 0.2
@@ -119,7 +112,7 @@
     keepalive_ms: float = 15_000.0
 
 
-class Registry(_Part):
+class Registry(Part):
     """The list service."""
 
     mode: Literal["push", "ask"] = "push"
@@ -132,7 +125,7 @@
     must_ask_ms: float = 10_000.0
 
 
-class Reports(_Part):
+class Reports(Part):
     """Load reports and probes."""
 
     via: Literal["none", "answers", "probe"] = "none"
@@ -143,7 +136,7 @@
     probe_timeout_ms: float = 250.0
 
 
-class Load(_Part):
+class Load(Part):
     """Visits a second, either as such or as a share of what warm servers can do."""
 
     rate: float = 0.0
@@ -157,7 +150,7 @@
     think_ms: float = 1_000.0
 
 
-class Clients(_Part):
+class Clients(Part):
     retries: int = 0  # after a first try
     patience: float = 1.0  # share of the client timeout that one try is given
     backoff: Literal["none", "fixed", "exp"] = "exp"
@@ -168,7 +161,7 @@
     impatient: float = 0.0  # share that leaves at a random moment
 
 
-class Prefix(_Part):
+class Prefix(Part):
     """A path prefix."""
 
     name: str
@@ -186,49 +179,26 @@
     wait_ms: float = 0.0  # that it holds its slot without a core, after the work
 
 
-class Tenant(_Part):
+class Tenant(Part):
     name: str
     share: float = 1.0
 
 
-class Rules(_Part):
+class Rules(Part):
     drain_grace_ms: float = 500.0
     overload_factor: float = 3.0  # of a cold server's capacity
     tip_ms: float = 2_000.0
     slack_ms: float = 50.0  # that every time limit is longer for the referee
 
 
-class Goal(_Part):
+class Goal(Part):
     cross_fee: float = 0.0  # share of the mean gain, for each fetch to another zone
     probe_fee: float = 0.0
     worst_prefix: float = 0.0  # weight of the worst-served path prefix
     max_retry_after_ms: float = 1_000.0  # 0: clients are given no advice
 
 
-class Fault(_Part):
-    """Something that goes wrong; what each key means for each kind is in docs/lab.md."""
-
-    kind: str
-    at_s: float = 10.0
-    for_s: float = 10.0
-    part: float = 0.0  # share of the servers or balancers it meets
-    zone: str = ""
-    to_zone: str = ""
-    size: float = 0.0
-    extra: float = 0.0
-    prefix: str = ""
-    silent: bool = False
-
-
-class Chance(_Part):
-    """Faults drawn for each run from ranges."""
-
-    count: int = 0
-    kinds: list[str] = []  # empty: all
-    mildness: float = 0.0  # 0: the whole ranges, 1: their mildest end only
-
-
-class Scenario(_Part):
+class Scenario(Part):
     name: str = "unnamed"
     about: str = ""
     day: Day = msgspec.field(default_factory=Day)
@@ -241,10 +211,10 @@
     load: Load = msgspec.field(default_factory=Load)
     clients: Clients = msgspec.field(default_factory=Clients)
     prefixes: list[Prefix] = msgspec.field(default_factory=lambda: [Prefix("read")])
-    tenants: list[Tenant] = []
+    tenants: list[Tenant] = msgspec.field(default_factory=list)
     rules: Rules = msgspec.field(default_factory=Rules)
     goal: Goal = msgspec.field(default_factory=Goal)
-    faults: list[Fault] = []
+    faults: list[Fault] = msgspec.field(default_factory=list)
     chance: Chance = msgspec.field(default_factory=Chance)
 
     def mean_work(self) -> float:
@@ -261,35 +231,8 @@
         return self.load.rate or self.load.share * self.capacity()
 
 
-# each kind of fault, and what `part`, `size` and `extra` mean for it
-FAULTS = {
-    "slow": "part of the servers works size times slower",
-    "pause": "part of the servers stops for size ms every extra s",
-    "crash": "part of the servers dies and starts cold at the end",
-    "zone-loss": "a zone's servers die, or vanish if silent; size: share back; extra 1: balancers too",
-    "flap": "a zone is lost and returns size times within the span",
-    "cut": "links between a zone and the others (or to_zone alone, one way) pass nothing",
-    "roll": "part of the servers is replaced in batches of size (share of all), each drained for extra s",
-    "shrink": "part of the servers is drained for extra s and goes for good",
-    "grow": "part as many servers again join, cold",
-    "restart": "part of the balancers is restarted in batches of size (share), each down for extra s",
-    "kill": "part of the balancers dies at once and is back after the span",
-    "burst": "size times the visits, rising and falling within extra s",
-    "heavy-tail": "extra as a share of the visits of a prefix (or all) has size times the work",
-    "neighbour": "part of the servers loses size of its cores for extra s at a time, as often",
-    "errors": "part of the servers answers errors at once, for size of the visits",
-    "mute": "part of the servers accepts and never answers",
-    "uneven": "part of the servers is size times slower for one balancer in extra",
-    "lossy": "size of all messages is lost and sent again",
-    "registry-down": "the list service answers nothing and its watches end",
-    "registry-late": "the list service takes size s longer to notice",
-    "registry-moved": "the watches of the list end once, all balancers ask anew",
-    "skew": "a zone gets size times its share of the visits",
-}
-
 KINDS = {kind.value: kind for kind in Kind}
 SCOPES = {scope.value: scope for scope in Scope}
-_UNKNOWN = re.compile(r"Object contains unknown field `(.*)`")
 
 
 def middle(span: Span) -> float:
@@ -335,8 +278,8 @@
     try:
         scenario = msgspec.convert(tree, Scenario, strict=True)
     except msgspec.ValidationError as error:
-        raise ScenarioError(_worded(str(error))) from error
-    for key, problem in _problems(scenario):
+        raise ScenarioError(worded(str(error), known_keys())) from error
+    for key, problem in problems(scenario, FAULTS):
         raise ScenarioError(f"{key}: {problem}")
     return scenario
 
@@ -367,18 +310,8 @@
     return build(tree)
 
 
-def _worded(text: str) -> str:
-    """What msgspec says, the key first, and the nearest known one."""
-    what, at, path = text.partition(" - at `$")
-    where = path.rstrip("`").removeprefix(".")
-    if unknown := _UNKNOWN.match(what):
-        key = unknown[1]
-        near = get_close_matches(key, sorted(_known_keys()), 1)
-        return f"{where + '.' if where else ''}{key}: unknown key" + (f", {near[0]!r}?" if near else "")
-    return f"{where}: {what}" if at and where else what
-
-
-def _known_keys() -> Iterator[str]:
+def known_keys() -> Iterator[str]:
+    """All keys of all tables."""
     tables = (
         Scenario,
         Day,
@@ -403,9 +336,9 @@
         yield from table.__struct_fields__
 
 
-def _problems(s: Scenario) -> Iterator[tuple[str, str]]:
-    """What the types do not say: the first of these is the error."""
-    yield from _numbers("", msgspec.to_builtins(s))
+def problems(s: Scenario, kinds: Mapping[str, str]) -> Iterator[tuple[str, str]]:
+    """What the types do not say: the first of these is the error; `kinds` are the faults that there are."""
+    yield from numbers("", msgspec.to_builtins(s))
     if not s.day.seconds > s.day.settle:
         yield "day.seconds", f"{s.day.seconds:g} leaves nothing after day.settle"
     if not s.day.window > 0:
@@ -450,37 +383,10 @@
         yield "load", "rate, share or closed is needed"
     if s.tenants and not sum(t.share for t in s.tenants) > 0:
         yield "tenants", "all shares are 0"
-    for i, fault in enumerate(s.faults):
-        at = f"faults[{i}]"
-        if fault.kind not in FAULTS:
-            near = get_close_matches(fault.kind, FAULTS, 1)
-            yield f"{at}.kind", f"unknown {fault.kind!r}" + (f", {near[0]!r}?" if near else "")
-        for key in ("zone", "to_zone"):
-            if (zone := getattr(fault, key)) and zone not in s.zones.names:
-                yield f"{at}.{key}", f"{zone!r} is not in zones.names"
-        if fault.prefix and fault.prefix not in names:
-            yield f"{at}.prefix", f"{fault.prefix!r} is not a prefix"
+    yield from words.problems(s.faults, kinds, s.zones.names, names)
     for i, kind in enumerate(s.chance.kinds):
-        if kind not in FAULTS:
+        if kind not in kinds:
             yield f"chance.kinds[{i}]", f"unknown {kind!r}"
     for fee in ("cross_fee", "probe_fee", "worst_prefix"):
         if getattr(s.goal, fee) > 1:
             yield f"goal.{fee}", f"{getattr(s.goal, fee):g} is over 1"
-    for key in ("part",):
-        for i, fault in enumerate(s.faults):
-            if getattr(fault, key) > 1:
-                yield f"faults[{i}].{key}", f"{getattr(fault, key):g} is over 1"
-
-
-def _numbers(path: str, value: Any) -> Iterator[tuple[str, str]]:
-    """No figure of a scenario may be under 0 or not finite, and a range goes upwards."""
-    if isinstance(value, dict):
-        for key, inner in value.items():
-            yield from _numbers(f"{path}.{key}" if path else key, inner)
-    elif isinstance(value, list | tuple):
-        for i, inner in enumerate(value):
-            yield from _numbers(f"{path}[{i}]", inner)
-        if isinstance(value, tuple) and len(value) == 2 and value[0] > value[1]:
-            yield path, f"the range goes from {value[0]:g} down to {value[1]:g}"
-    elif isinstance(value, float | int) and not 0 <= value < 1e12:
-        yield path, f"{value:g} is not a figure from 0 on"
--- a/ospreyline/lab/sweep.py
+++ b/ospreyline/lab/sweep.py
@@ -21,7 +21,8 @@
 
 from ospreyline.lab import arms, records, scenario
 from ospreyline.lab.run import play
-from ospreyline.lab.scenario import Scenario, ScenarioError
+from ospreyline.lab.scenario import Scenario
+from ospreyline.lab.words import ScenarioError
 
 
 class Cell(msgspec.Struct, frozen=True):
--- /dev/null
+++ b/ospreyline/rig/results.py
@@ -0,0 +1,204 @@
+"""What a run comes to: one table, and records in the laboratory's form that `lab plot` draws.
+
+Pure but for `write`: rows in, figures out. Times are ms from the beginning of the day.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Any
+
+import msgspec
+from hdrh.histogram import HdrHistogram
+
+from ospreyline.rig.referee import Breach, Row
+from ospreyline.rig.scenario import Scenario
+
+MOST_US = 600_000_000
+WINDOW = 100.0  # ms; the busiest of these is told
+_JSON = msgspec.json.Encoder(order="deterministic")
+
+
+def quantiles(times: Sequence[float]) -> dict[str, float]:
+    """p50, p90 and p99 of times in ms; 0 where there are none."""
+    histogram = HdrHistogram(1, MOST_US, 3)
+    for ms in times:
+        histogram.record_value(max(1, int(ms * 1e3)))
+    return {f"p{q}": round(histogram.get_value_at_percentile(q) / 1e3, 2) if times else 0.0
+            for q in (50, 90, 99)}
+
+
+def busiest(times: Sequence[float], span: float) -> int:
+    """The most of these times that lie within one span."""
+    ordered, most, begin = sorted(times), 0, 0
+    for i, at in enumerate(ordered):
+        while ordered[begin] <= at - span:
+            begin += 1
+        most = max(most, i - begin + 1)
+    return most
+
+
+def start(rows: Sequence[Row], count: int, since: float = 0.0) -> dict[str, Any]:
+    """The start of a bank of `count`: calls, lists in force, handshakes, counted from a time on."""
+    calls = [row for row in rows if row["k"] == "call" and row["t"] >= since]
+    served = [row for row in calls if not row["refused"]]
+    spans = [row["t"] for row in rows if row["k"] == "opened" and row["link"].endswith(">list")
+             and row["t"] >= since]
+    listed: dict[str, float] = {}
+    for row in rows:
+        if row["k"] == "told" and row["t"] >= since:
+            listed.setdefault(row["b"], row["t"])
+    up: dict[int, float] = {}
+    for row in rows:
+        if row["k"] == "serving" and row["t"] >= since:
+            up.setdefault(row["b"], row["t"])
+    times = sorted(listed.values())
+    by: dict[int, list[float]] = {}
+    for row in rows:
+        if row["k"] == "handshake" and row["t"] >= since:
+            by.setdefault(row["u"], []).append(row["t"])
+    return {
+        "attempts_each": round(max(len(spans), len(calls)) / count, 2),
+        "calls_each": round(len(calls) / count, 2),
+        "refused": len(calls) - len(served),
+        "longest_queue": max((row["queue"] for row in calls), default=0),
+        "busiest_100_ms": busiest([row["t"] for row in calls], WINDOW),
+        "listed": len(times),
+        "half_listed_s": round((times[(len(times) - 1) // 2] - since) / 1e3, 2) if times else None,
+        "all_listed_s": round((times[-1] - since) / 1e3, 2) if len(times) >= count else None,
+        "all_up_s": round((max(up.values()) - since) / 1e3, 2) if len(up) >= count else None,
+        "most_handshakes_a_s": max((busiest(at, 1e3) for at in by.values()), default=0),
+    }
+
+
+def summary(s: Scenario, rows: Sequence[Row], breaches: Sequence[Breach], pushed: float, seed: int,
+            lag: float, used: dict[str, Any]) -> dict[str, Any]:
+    """The figures of one run."""
+    settle = 1e3 * s.day.settle
+    wants = [row for row in rows if row["k"] == "want" and row["since"] >= settle]
+    tries = [row for row in rows if row["k"] == "try" and row["t"] >= settle]
+    delivered = [row["t"] - row["sent"] for row in tries if row["how"] == "answer" and row["status"] == 200]
+    gains = {p.name: p.gain for p in s.prefixes}
+    late = {p.name: p.late_gain for p in s.prefixes}
+    asked = sum(gains[row["prefix"]] for row in wants)
+    won = sum(gains[row["prefix"]] * (1.0 if row["outcome"] == "in time" else late[row["prefix"]])
+              for row in wants if row["outcome"] != "failed")
+    outcomes = Counter(row["outcome"] for row in wants)
+    total = max(1, len(wants))
+    counts = Counter(b.rule for b in breaches)
+    zone = {f"u{i}": z for i, z in enumerate(_zones(s))}
+    sends = [row for row in rows if row["k"] == "asked" and ">u" in row["link"]]
+    zones = len(s.zones.names)
+    crossed = sum(int(row["link"][1:].split(">")[0]) % zones != zone[row["link"].split(">")[1]]
+                  for row in sends)
+    return {
+        "name": s.name, "seed": seed, "balancers": s.bank.count, "upstreams": s.upstreams(),
+        "wanted": len(wants), "gain": round(won / asked, 4) if asked else 0.0,
+        "in_time": round(outcomes["in time"] / total, 4), "late": round(outcomes["late"] / total, 4),
+        "failed": round(outcomes["failed"] / total, 4),
+        "in_time_5_s": _early(rows, 5_000.0),
+        "tries": len(tries), "bounced": sum(row["status"] in (429, 503) for row in tries),
+        "errored": sum(row["how"] == "answer" and row["status"] not in (200, 429, 503) for row in tries),
+        "cut": sum(row["how"] in ("cut", "none", "spoilt") for row in tries),
+        "nobody": sum(row["how"] in ("nobody", "unreached") for row in tries),
+        "fetches": len(sends), "crossed": crossed, **quantiles(delivered),
+        "start": start(rows, s.bank.count),
+        "breaches": {rule: counts[rule] for rule in ("lost", "twice", "drain", "cold", "crash")},
+        "pushed": round(pushed, 3), "lag_ms": lag, "void": lag > s.rig.lag_ms, **used,
+    }
+
+
+def _zones(s: Scenario) -> list[int]:
+    groups = [g for g in s.servers for _ in range(g.count)]
+    return [s.zones.names.index(g.zone) if g.zone else i % len(s.zones.names) for i, g in enumerate(groups)]
+
+
+def _early(rows: Sequence[Row], span: float) -> float | None:
+    """The share of the first tries of the first ms that ended in time."""
+    wants = [row["outcome"] for row in rows if row["k"] == "want" and 0 <= row["since"] < span]
+    return round(wants.count("in time") / len(wants), 4) if wants else None
+
+
+def table(figures: dict[str, Any]) -> str:
+    """Plain text for a terminal."""
+    f = figures
+    first = f["start"]
+    lines = [
+        f"{f['name']}, seed {f['seed']}: {f['balancers']} balancers, {f['upstreams']} upstreams, "
+        f"{f['wanted']} first tries",
+        f"  gain {f['gain']:.4f}; in time {f['in_time']:.1%}, late {f['late']:.1%}, "
+        f"failed {f['failed']:.1%}; bounced {f['bounced']}, errored {f['errored']}, cut {f['cut']}, "
+        f"nobody there {f['nobody']}",
+        f"  latency ms p50 {f['p50']:g}, p90 {f['p90']:g}, p99 {f['p99']:g}; fetches {f['fetches']}, "
+        f"crossed {f['crossed']}",
+        f"  list: {first['calls_each']} calls a balancer ({first['attempts_each']} connections), "
+        f"refused {first['refused']}, longest queue {first['longest_queue']}, "
+        f"busiest 100 ms {first['busiest_100_ms']}",
+    ]
+    if f.get("resident_mb"):
+        lines.append(f"  a balancer: {f['resident_mb']} MB resident (most {f['most_resident_mb']}), "
+                     f"{f['cpu_s']} s of CPU")
+    broken = {rule: n for rule, n in f["breaches"].items() if n}
+    lines.append(f"  rules {'BROKEN: ' + str(broken) if broken else 'kept'}; nearest to a cold bound "
+                 f"{f['pushed']:.0%}; the rig came {f['lag_ms']:g} ms late at the most"
+                 + (" - VOID, the machine was too busy" if f["void"] else ""))
+    return "\n".join(lines)
+
+
+def write(out: Path, s: Scenario, rows: Sequence[Row], breaches: Sequence[Breach], figures: dict[str, Any],
+          faults: Sequence[dict[str, Any]], begun: float) -> None:
+    """The records of a run, in the laboratory's form."""
+    window = 1e3 * s.day.window
+    last = max((row["t"] for row in rows if row["k"] in ("want", "try")), default=0.0)
+    windows = max(1, int(last / window) + 1)
+    time = [{"t": i * window / 1e3, "wanted": 0, "in_time": 0, "late": 0, "failed": 0, "asked": 0.0,
+             "gain": 0.0, "tries": 0, "bounced": 0, "errored": 0, "cut": 0, "fetches": 0, "crossed": 0,
+             "calls": 0, "probes": 0, "ends": {}} for i in range(windows)]
+    gains = {p.name: p.gain for p in s.prefixes}
+    lates = {p.name: p.late_gain for p in s.prefixes}
+    delays: list[list[float]] = [[] for _ in range(windows)]
+    held = [[0] * s.upstreams() for _ in range(windows)]
+    zones, names = _zones(s), s.zones.names
+    for row in rows:
+        kind, at = row["k"], row["since"] if row["k"] == "want" else row["t"]
+        place = int(at / window)
+        if at < 0 or place >= windows:
+            continue
+        into: dict[str, Any] = time[place]
+        if kind == "want":
+            into["wanted"] += 1
+            into[row["outcome"].replace(" ", "_")] += 1
+            into["asked"] += gains[row["prefix"]]
+            into["gain"] += gains[row["prefix"]] * {"in time": 1.0, "failed": 0.0}.get(
+                row["outcome"], lates[row["prefix"]])
+        elif kind == "try":
+            into["tries"] += 1
+            if row["how"] == "answer" and row["status"] == 200:
+                delays[place].append(row["t"] - row["sent"])
+            elif row["how"] == "answer":
+                into["bounced" if row["status"] in (429, 503) else "errored"] += 1
+            else:
+                into["cut"] += 1
+        elif kind == "asked" and ">u" in row["link"]:
+            b, u = row["link"][1:].split(">u")
+            into["fetches"] += 1
+            into["crossed"] += int(b) % len(names) != zones[int(u)]
+        elif kind == "call":
+            into["calls"] += 1
+        elif kind == "probe":
+            into["probes"] += 1
+        elif kind == "ran":
+            held[place][row["u"]] += 1
+    for row_of, times in zip(time, delays, strict=True):
+        row_of.update(quantiles(times))
+    servers = [{"t": i * window / 1e3, "server": u, "zone": names[zones[u]], "up": True, "warmth": 1.0,
+                "slow": 1.0, "held": held[i][u], "busy": 0.0, "done": held[i][u], "turned_away": 0}
+               for i in range(windows) for u in range(s.upstreams())]
+    carried = [{**f, "from": (f["from"] - begun) / 1e3, "to": (f["to"] - begun) / 1e3} for f in faults]
+    for name, lines in (("time", time), ("servers", servers), ("breaches", breaches), ("faults", carried)):
+        (out / f"{name}.jsonl").write_bytes(b"".join(_JSON.encode(line) + b"\n" for line in lines))
+    told = {"scenario": s, "seed": figures["seed"], "arm": "rig"}
+    for name, value in (("summary", figures), ("run", told)):
+        (out / f"{name}.json").write_bytes(msgspec.json.format(_JSON.encode(value)) + b"\n")
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -14,7 +14,7 @@
 from ospreyline.host import Host
 from ospreyline.lab import arms, bank, compare, records, scenario, servers, sweep, theory
 from ospreyline.lab.run import Run, play
-from ospreyline.lab.scenario import FAULTS, ScenarioError
+from ospreyline.lab.words import FAULTS, ScenarioError
 from ospreyline.lab.world import Streams, World
 from ospreyline.net.turn import Turn
 
