--- a/ospreyline/decide.py
+++ b/ospreyline/decide.py
@@ -701,7 +701,10 @@
             held = lane.held
             while held:
                 visit = held[0]
-                if not visit.done and visit.held and not self._place(visit, now):
+                # guards: one past its time takes room for an answer that comes too late, or bars the rest
+                if visit.held and now > self._hold_until(visit):
+                    self._give_up(visit, now)
+                elif visit.held and not self._place(visit, now):
                     self._short_at = now
                     break
                 held.popleft()
--- a/ospreyline/rig/clients.py
+++ b/ospreyline/rig/clients.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections import deque
+from collections import Counter, deque
 from random import Random
 from typing import Any
 
@@ -19,6 +19,7 @@
 from ospreyline.rig.scenario import Scenario
 from ospreyline.rig.worker import Worker
 
+LIVE_EVERY = 500.0  # ms between two words on how it goes, where they are wanted
 READY_EVERY = 100.0  # ms between two looks at a balancer that has been started
 MOST_IDLE = 32  # connections kept to a balancer
 
@@ -139,11 +140,21 @@
         self._wants = self._tries = 0
         self.unfinished = 0
         self._slack = s.rules.slack_ms
+        self._live = bool(setup.get("live"))
+        self._counts = [Counter[str]() for _ in s.zones.names]
 
     async def begin(self) -> None:
         self.worker.clock.after(READY_EVERY, self._look)
+        if self._live:
+            self.worker.clock.after(LIVE_EVERY, self._tell_live)
         self.worker.say("standing")
 
+    def _tell_live(self) -> None:
+        self.worker.clock.after(LIVE_EVERY, self._tell_live)
+        self.worker.say("live", zones=[dict(counts) for counts in self._counts])
+        for counts in self._counts:
+            counts.clear()
+
     # the front
 
     def _look(self) -> None:
@@ -298,6 +309,7 @@
         if attempt.over:
             return
         attempt.over = True
+        self._counts[attempt.want.zone]["bounced"] += status in (429, 503)
         want, now = attempt.want, self.worker.clock.now
         terms = self.scenario.prefixes[want.prefix]
         self.worker.row("try", id=attempt.id, want=want.number, prefix=terms.name, zone=want.zone,
@@ -325,6 +337,7 @@
 
     def _end(self, want: Want, outcome: str) -> None:
         self.unfinished -= 1
+        self._counts[want.zone][outcome] += 1
         self.worker.row("want", since=round(want.since, 3), prefix=self.scenario.prefixes[want.prefix].name,
                         zone=want.zone, outcome=outcome, tries=want.tries)
         if self._until and self.worker.clock.now >= self._until and not self.unfinished:
--- a/ospreyline/rig/command.py
+++ b/ospreyline/rig/command.py
@@ -42,14 +42,15 @@
     return wrapped
 
 
-def played(found: Scenario, seed: int, out: Path, say: Callable[[str], None]) -> dict[str, Any]:
+def played(found: Scenario, seed: int, out: Path, say: Callable[[str], None],
+           live: Callable[[float, list[dict[str, int]]], None] | None = None) -> dict[str, Any]:
     """Play a scenario, judge it and write its records; its figures."""
     from ospreyline.rig import results
     from ospreyline.rig.referee import Referee
     from ospreyline.rig.run import Day, play, prepare
 
     prepare(out)
-    day = Day(found, seed, out, say)
+    day = Day(found, seed, out, say, live)
     rows = asyncio.run(play(day))
     referee = Referee(found, day.speeds)
     breaches = referee.judge(rows)
@@ -99,3 +100,66 @@
     click.echo(results.table(figures))
     click.echo(f"  {monotonic() - begun:.1f} s; records in {folder}")
     sys.exit(1 if any(figures["breaches"].values()) else 0)
+
+
+@rig.command()
+@click.option("--seed", default=1, show_default=True)
+@click.option("--out", type=FOLDER, help="Folder for rows, logs and records; else a new temporary one.")
+@_told
+def demo(seed: int, out: Path | None) -> None:
+    """Three zones, a list service, three balancers, clients: a zone is lost and comes back, as you watch."""
+    from rich.console import Console
+    from rich.live import Live
+    from rich.table import Table
+
+    from ospreyline.rig import results
+
+    found = scenarios.load("demo")
+    folder = out or Path(tempfile.mkdtemp(prefix="ospreyline-rig-"))
+    lost = next(fault for fault in found.faults if fault.kind == "zone-loss")
+    rows: list[list[str]] = []
+
+    def state(at: float) -> str:
+        if at < lost.at_s:
+            return "all is well"
+        if at < lost.at_s + lost.for_s:
+            return f"zone {lost.zone} is lost"
+        return f"zone {lost.zone} is back, cold"
+
+    def drawn() -> Table:
+        table = Table(title="first tries by half seconds")
+        for name in ("s", "", *(f"zone {z}: in time / late / failed" for z in found.zones.names), "bounced"):
+            table.add_column(name, justify="right")
+        for row in rows[-20:]:
+            table.add_row(*row)
+        return table
+
+    console = Console()
+    with Live(drawn(), console=console, refresh_per_second=4) as shown:
+
+        def live(at: float, zones: list[dict[str, int]]) -> None:
+            cells = [f"{z.get('in time', 0)} / {z.get('late', 0)} / {z.get('failed', 0)}" for z in zones]
+            rows.append([f"{at:.1f}", state(at), *cells, str(sum(z.get("bounced", 0) for z in zones))])
+            shown.update(drawn())
+
+        figures = played(found, seed, folder, lambda text: console.print(text, highlight=False), live)
+    click.echo(results.table(figures))
+    click.echo(f"  records in {folder}; draw them with: lab plot {folder}")
+    sys.exit(1 if any(figures["breaches"].values()) else 0)
+
+
+@rig.command()
+@click.argument("listen", default="127.0.0.1:9001")
+@click.option("--work", default=5.0, show_default=True, help="ms of a core that a request costs.")
+@_told
+def upstream(listen: str, work: float) -> None:
+    """One stand-in upstream at LISTEN until Ctrl-C, to try a balancer by hand."""
+    from ospreyline import facts
+    from ospreyline.rig.upstreams import alone
+
+    at = facts.address(listen)
+    if at is None:
+        raise ScenarioError(f"{listen}: no address such as 127.0.0.1:9001")
+    if not 0 < work < 60_000:
+        raise ScenarioError(f"--work: {work:g} is no time of a request")
+    asyncio.run(alone(at, work, lambda where: click.echo("listening on {}:{}".format(*where))))
--- a/ospreyline/rig/run.py
+++ b/ospreyline/rig/run.py
@@ -160,11 +160,13 @@
     """One day of one scenario; `play` gives its rows."""
 
     def __init__(self, scenario: Scenario, seed: int, out: Path,
-                 told: Callable[[str], None] = lambda text: None) -> None:
+                 told: Callable[[str], None] = lambda text: None,
+                 live: Callable[[float, list[dict[str, int]]], None] | None = None) -> None:
         self.scenario = s = scenario
         self.seed = seed
         self.out = out
         self._told = told
+        self._live = live  # told each half second how it goes: s of the day, counts by zone
         self._streams = Streams(seed)
         self.origin = monotonic() * 1e3
         self.begun = 0.0  # ms; when the day began
@@ -281,6 +283,9 @@
         elif what == "ready":
             if news["b"] in self._ready:
                 self._ready[news["b"]].set()
+        elif what == "live":
+            if self._live is not None and self.begun:
+                self._live((self.now() - self.begun) / 1e3, news["zones"])
         elif what == "finished":
             self._finished.add(part.name)
             if len(self._finished) == len(self._clients):
@@ -447,7 +452,8 @@
         at = [self._links[f"c>b{b}"] for b in range(s.bank.count)]
         found = await asyncio.gather(*(
             self._part("clients", i, "clients", "standing", scenario=msgspec.to_builtins(s), number=i, of=per,
-                       at=at, zones=self.balancer_zones, bank_seed=self._streams.number("bank") % (1 << 53))
+                       live=self._live is not None, at=at, zones=self.balancer_zones,
+                       bank_seed=self._streams.number("bank") % (1 << 53))
             for i in range(per)))
         self._clients = [part for part, _ in found]
 
--- a/ospreyline/rig/upstreams.py
+++ b/ospreyline/rig/upstreams.py
@@ -10,7 +10,9 @@
 import asyncio
 import socket
 import struct
+from collections.abc import Callable
 from random import Random
+from time import monotonic
 from typing import Any
 
 import httptools
@@ -18,7 +20,7 @@
 
 from ospreyline.lab.scenario import Group
 from ospreyline.lab.servers import Job, Server
-from ospreyline.rig.worker import Worker
+from ospreyline.rig.worker import Clock, Worker
 
 LINGER = struct.pack("ii", 1, 0)
 OWN_PATHS = {"/health/live", "/stats"}
@@ -168,9 +170,9 @@
         trace = fields.get(b"x-trace-id", b"").decode("latin-1")
         server = self.server
         try:
-            work = float(fields.get(b"x-work", b"1"))
+            work = float(fields.get(b"x-work", b"")) if b"x-work" in fields else self.owner.work
         except ValueError:
-            work = 1.0
+            work = self.owner.work
         row = {"u": self.index, "inc": server.incarnation, "id": trace, "work": round(work, 3),
                "key": fields.get(b"idempotency-key", b"").decode("latin-1")}
         if not server.up or self.mute:
@@ -210,6 +212,7 @@
     def __init__(self, worker: Worker, setup: dict[str, Any]) -> None:
         self.worker = worker
         self.fields: list[str] = setup["fields"]
+        self.work = 1.0  # ms, of a request that brings none
         self.upstreams = {
             one["index"]: Upstream(self, one["index"], one["uid"], one["listen"],
                                    msgspec.convert(one["group"], Group), one["zone"], one["speed"],
@@ -259,3 +262,31 @@
 
 def make(worker: Worker, setup: dict[str, Any]) -> Upstreams:
     return Upstreams(worker, setup)
+
+
+class _Alone:
+    """What a worker gives, for an upstream that no rig keeps."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        self.loop = loop
+        self.clock = Clock(loop, monotonic() * 1e3)
+        self.seed = 1
+
+    def row(self, kind: str, /, **values: Any) -> None:
+        pass
+
+    def say(self, news: str, **values: Any) -> None:
+        pass
+
+
+async def alone(at: tuple[str, int], work: float, said: Callable[[tuple[str, int]], None]) -> None:
+    """One warm upstream at an address until it is cancelled; `work` in ms where a request brings none."""
+    worker: Any = _Alone(asyncio.get_running_loop())
+    owner = Upstreams(worker, {"fields": [], "upstreams": []})
+    owner.work = work
+    upstream = Upstream(owner, 0, "s-0-1", at[0], Group(), 0, 1.0, 1.0)
+    upstream.at = at
+    await upstream.listen()
+    upstream.start(warm=True)
+    said(upstream.at)
+    await asyncio.Event().wait()
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -151,6 +151,24 @@
     assert host.sends[0][2] <= visit.lane.target < visit.expires - host.now
 
 
+def test_room_is_not_offered_to_a_held_visit_that_is_past_its_time():
+    # met on sockets: between two looks at held visits the oldest took the room that came, answered too late
+    host = FakeHost([listed(0)])
+    host.serve(30)
+    host.balancer._flow = 50.0
+    out = []
+    while not (first := host.take()).held:
+        out.append(first)
+    second = host.take()
+    assert second.held and not host.answers(first)
+    # room comes before the next look: the first one's time is over, the second one's is not
+    first.target_at -= 1_000.0
+    for visit in out:
+        visit.ended(host.now, 0, End.DELIVERED, 50.0, True, ())
+    assert host.answers(first) == 1 and not first.fetches
+    assert second.fetches
+
+
 def test_a_client_with_little_patience_is_not_taken_for_a_repeat():
     # met on an incident: its fetches were cut off after some milliseconds
     host = FakeHost([listed(0), listed(1)])
