The operator's file, calls to the list service in turn, and a kept list; all off unless switched on

Need: hundreds of balancers that start at once guess alone when to call the list service, slow where it is idle and wasteful where it is down. fleet/pace.py (pure) gives each a place in the time in which the service can serve the whole bank; fleet/kept.py keeps the last accepted list, checked before use; operator.py is the one place where a part is switched on, and config show says what holds and why. Off, nothing of it is imported.

--- a/ospreyline/__main__.py
+++ b/ospreyline/__main__.py
@@ -7,15 +7,25 @@
 import sys
 from importlib import import_module
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 import click
 
 from ospreyline import __version__, facts
 
+if TYPE_CHECKING:
+    from ospreyline.operator import Operator
+
 CONFIG = click.argument(
     "config", envvar="PROXY_CONFIG", type=click.Path(dir_okay=False, path_type=Path))
 
 
+OPERATOR = click.option(
+    "--operator", "operator_file", envvar="OSPREYLINE_OPERATOR",
+    type=click.Path(dir_okay=False, path_type=Path),
+    help="The operator's file (TOML), which switches on what is off by default; see deploy/operator.toml.")
+
+
 def _post(path: Path) -> facts.Post:
     """Read the configuration, or end with one line that says what is wrong with it, and status 2."""
     try:
@@ -25,6 +35,19 @@
         sys.exit(2)
 
 
+def _operator(path: Path | None) -> Operator | None:
+    """Read the operator's file, likewise; without one nothing of it is imported."""
+    if path is None:
+        return None
+    from ospreyline import operator
+
+    try:
+        return operator.load(path)
+    except facts.FactError as error:
+        click.echo(f"ospreyline: {error}", err=True)
+        sys.exit(2)
+
+
 # name: module and command
 FURTHER = {"lab": ("ospreyline.lab.command", "lab"), "pairs": ("ospreyline.pairs", "command"),
            "regression": ("ospreyline.regression", "command"), "rig": ("ospreyline.rig.command", "rig")}
@@ -55,10 +78,20 @@
 
 @main.command()
 @CONFIG
-def serve(config: Path) -> None:
+@OPERATOR
+def serve(config: Path, operator_file: Path | None) -> None:
     """Serve as CONFIG says (default: the file that PROXY_CONFIG names) until SIGTERM; SIGHUP rereads it."""
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # guards: until it is heard it would end the process
-    post = _post(config)
+    post, operator = _post(config), _operator(operator_file)
+
+    def reread() -> tuple[facts.Post, Operator | None]:
+        post = facts.load(config, os.environ, again=True)
+        if operator_file is None:
+            return post, None
+        from ospreyline.operator import load
+
+        return post, load(operator_file)
+
     # guards: the loop's library starts an io_uring thread that polls on our core for a while after each
     # signal; where a limit on CPU time works by stopping the process, that alone kept it at the limit
     os.environ.setdefault("UV_USE_IO_URING", "0")
@@ -68,7 +101,7 @@
 
     service.start_log()
     try:
-        uvloop.run(service.serve(post, lambda: facts.load(config, os.environ, again=True)))
+        uvloop.run(service.serve(post, reread, operator))
     except OSError as error:
         at = f"{post.listen[0]}:{post.listen[1]}"
         click.echo(f"ospreyline: cannot listen on {at}: {error.strerror}", err=True)
@@ -77,9 +110,10 @@
 
 @main.command()
 @CONFIG
-def check(config: Path) -> None:
-    """Read CONFIG as `serve` would and say what it holds."""
-    post = _post(config)
+@OPERATOR
+def check(config: Path, operator_file: Path | None) -> None:
+    """Read CONFIG and the operator's file as `serve` would and say what they hold."""
+    post, operator = _post(config), _operator(operator_file)
     click.echo(f"{post.name}: listens on {post.listen[0]}:{post.listen[1]}, "
                f"zone {post.zone_names[post.terms.zone]!r}, {post.sockets} descriptors")
     terms = post.terms
@@ -92,6 +126,42 @@
     for name, prefix in zip(post.prefix_names, terms.prefixes, strict=True):
         click.echo(f"/{name}: {prefix.kind.value}, target latency {prefix.target_latency:g} ms, "
                    f"client timeout {prefix.client_timeout:g} ms, gain {prefix.gain:g}")
+    on = []
+    if operator is not None and operator.list.calls_per_s:
+        on.append(f"calls spread for a list service of {operator.list.calls_per_s:g} a second")
+    if operator is not None and operator.list.keep:
+        on.append(f"the list is kept in {operator.list.keep} for {operator.list.keep_for_s:g} s")
+    click.echo("switched on by the operator's file: " + ("; ".join(on) or "nothing"))
+
+
+@main.group(name="config")
+def config_group() -> None:
+    """What the configuration comes to."""
+
+
+@config_group.command()
+@CONFIG
+@OPERATOR
+def show(config: Path, operator_file: Path | None) -> None:
+    """Print the effective values, where each comes from, and what SIGHUP applies of them."""
+    from ospreyline import operator as parts
+
+    post, operator = _post(config), _operator(operator_file)
+    from_file = facts.given(config)
+    for key, value, variable, sighup in (
+            ("name", post.name, "PROXY_NAME", False),
+            ("listen", "{}:{}".format(*post.listen), "PROXY_LISTEN", False),
+            ("discovery", "{}:{}".format(*post.discovery), "PROXY_DISCOVERY", True),
+            ("seed", f"{post.seed:x}", "", False),
+            ("limits.sockets", post.sockets, "", False),
+            ("limits.memory_mb", post.memory >> 20, "", False),
+            ("settings", f"{len(post.prefix_names)} path prefixes", "", True)):
+        origin = variable if variable and os.environ.get(variable) else (
+            str(config) if key.split(".")[0] in from_file else "default")
+        click.echo(f"{key} = {value}  # {origin}; SIGHUP {'applies it' if sighup else 'does not apply it'}")
+    for one in parts.keys(operator or parts.OFF, operator_file):
+        click.echo(f"{one.name} = {one.value!r}  # {one.origin}; "
+                   f"SIGHUP {'applies it' if one.sighup else 'does not apply it'}; {one.about}")
 
 
 @main.command(name="version")
--- a/ospreyline/facts.py
+++ b/ospreyline/facts.py
@@ -176,6 +176,11 @@
         raise FactError(f"{path}: {error}") from error
 
 
+def given(path: Path) -> frozenset[str]:
+    """The top keys that a balancer's file holds, of one that `load` took."""
+    return frozenset(msgspec.json.decode(path.read_bytes(), type=dict[str, msgspec.Raw]))
+
+
 def post(text: bytes, env: Mapping[str, str]) -> Post:
     """Decode the file of a balancer on sockets; variables that are set win over the file."""
     try:
--- a/ospreyline/lab/command.py
+++ b/ospreyline/lab/command.py
@@ -271,3 +271,24 @@
     click.echo(speed.HEADER)
     for word in sizes.split(","):
         click.echo(speed.measure(found, int(word)).line())
+
+
+@lab.command()
+@click.option("--sizes", default="3,30,100,400,1000", show_default=True, help="Of the bank.")
+@click.option("--calls-per-s", default=250.0, show_default=True, help="What the list service can do.")
+@click.option("--down", default=0.0, show_default=True, help="s for which it is down from the start.")
+@click.option("--boot", default=2.0, show_default=True, help="s within which all processes are up.")
+@click.option("--seed", default=1, show_default=True)
+@_told
+def start(sizes: str, calls_per_s: float, down: float, boot: float, seed: int) -> None:
+    """The opening calls of a bank that starts at once, with and without the pace of the operator's file."""
+    from ospreyline.lab.start import HEADER, opening
+
+    if not all(word.isdigit() and int(word) for word in sizes.split(",")):
+        raise ScenarioError(f"--sizes: {sizes!r} are no whole numbers")
+    if not calls_per_s > 0:
+        raise ScenarioError(f"--calls-per-s: {calls_per_s:g} is no rate")
+    click.echo(HEADER)
+    for word in sizes.split(","):
+        for paced in (False, True):
+            click.echo(opening(int(word), calls_per_s, paced, down, boot, seed=seed).line())
--- /dev/null
+++ b/ospreyline/lab/start.py
@@ -0,0 +1,151 @@
+"""The opening calls of a bank that starts at once, simulated: when each balancer has the list, at whose cost.
+
+The decisions (`decide.py`) and the pace of calls (`fleet/pace.py`) are those in service; the list service
+works through calls in turn (`turns.py`). Balancers have no kept list, and come up within `boot` s.
+"""
+
+from __future__ import annotations
+
+from bisect import bisect_left
+from collections.abc import Callable
+from dataclasses import dataclass
+from math import inf
+from random import Random
+
+from ospreyline.decide import Balancer
+from ospreyline.fleet.pace import Pace
+from ospreyline.host import Deployment, Kind, Listed, PathPrefix, Readiness, Scope
+from ospreyline.lab.turns import Turns
+from ospreyline.lab.world import World
+
+TRIP = 1.0  # ms that a call and its refusal take
+LIST = [Listed(i, 7919 * i + 13, i % 3, 0, Readiness.READY, 0.0) for i in range(9)]
+
+
+class _Starter:
+    """One balancer as far as its list goes; the host of its decisions."""
+
+    def __init__(self, bank: _Bank, number: int, terms: Deployment, seed: int) -> None:
+        self.bank, self.world = bank, bank.world
+        self.listed_at = inf
+        self.calls = 0
+        self.pace: Pace | None = None
+        if bank.paced:
+            draw = Random(seed).random
+            self.pace = Pace(number, terms.balancers, bank.calls_per_s, terms.must_ask_in, draw)
+        self.decisions = Balancer(self, terms, seed, self.world.now)
+        self.decisions.told_all(self.world.now, [])
+        if self.pace is not None:
+            self.pace.begin(self.world.now)
+            self._plan()
+
+    def watch(self, on: bool) -> None:
+        if self.pace is None:
+            self._call()
+        else:
+            self.pace.wanted(self.world.now)
+            self._plan()
+
+    def _plan(self) -> None:
+        assert self.pace is not None
+        if self.pace.due < inf:
+            self.world.at(self.pace.due, self._due)
+
+    def _due(self) -> None:
+        assert self.pace is not None
+        if self.world.now >= self.pace.due:
+            self.pace.called(self.world.now)
+            self._call()
+
+    def _call(self) -> None:
+        self.calls += 1
+        wait = self.bank.called()
+        self.world.after(TRIP if wait is None else wait, self._failed if wait is None else self._told)
+
+    def _failed(self) -> None:
+        if self.pace is not None:
+            self.pace.failed(self.world.now)
+            self._plan()
+        self.decisions.told_nothing(self.world.now)
+
+    def _told(self) -> None:
+        if self.pace is not None:
+            self.pace.heard(self.world.now)
+        self.listed_at = min(self.listed_at, self.world.now)
+        self.decisions.told_changes(self.world.now, LIST)
+
+    def wake(self, at: float, call: Callable[[float], None]) -> None:
+        if at <= self.bank.until:
+            self.world.at(at, lambda: call(self.world.now))
+
+    def send(self, tag: int, upstream: int, time_out: float) -> None: ...
+    def cancel(self, tag: int, fetch: int) -> None: ...
+    def bounce(self, tag: int, retry_after: float) -> None: ...
+    def fail(self, tag: int) -> None: ...
+    def probe(self, upstream: int) -> None: ...
+    def drop(self, upstream: int) -> None: ...
+    def tell(self, message: bytes) -> None: ...
+    def refresh(self) -> None: ...
+    def log(self, text: str) -> None: ...
+
+
+class _Bank:
+    def __init__(self, calls_per_s: float, queue: int, down: float, paced: bool, until: float) -> None:
+        self.world = World()
+        self.calls_per_s, self.down, self.paced, self.until = calls_per_s, down, paced, until
+        self.turns = Turns(1e3 / calls_per_s, queue)
+        self.times: list[float] = []
+
+    def called(self) -> float | None:
+        """A call has come: ms until it is served; None if it is refused."""
+        now = self.world.now
+        self.times.append(now)
+        return None if now < self.down else self.turns.call(now)
+
+
+@dataclass(slots=True, frozen=True)
+class Opening:
+    """What the opening calls of a bank came to; times in s from the start of all."""
+
+    count: int
+    paced: bool
+    calls_each: float
+    calls_while_down: float  # each
+    refused: int  # by a full queue
+    longest_queue: int
+    busiest_100_ms: int
+    half_s: float
+    all_s: float  # infinite if one never had the list
+
+    def line(self) -> str:
+        return (f"{self.count:6} {'paced' if self.paced else 'today':>6} {self.calls_each:6.2f} "
+                f"{self.calls_while_down:10.2f} {self.refused:8} {self.longest_queue:6} "
+                f"{self.busiest_100_ms:8} {self.half_s:7.2f} {self.all_s:7.2f}")
+
+
+HEADER = (f"{'bank':>6} {'text':>6} {'calls':>6} {'while down':>10} {'refused':>8} {'queue':>6} "
+          f"{'100 ms':>8} {'half s':>7} {'all s':>7}")
+
+
+def opening(count: int, calls_per_s: float, paced: bool, down_s: float = 0.0, boot_s: float = 2.0,
+            queue: int = 50, must_ask_s: float = 10.0, seed: int = 1) -> Opening:
+    """Start `count` balancers at once against a service that does so many calls a second."""
+    until = 1e3 * (down_s + 30.0 + 4 * count / calls_per_s)
+    bank = _Bank(calls_per_s, queue, 1e3 * down_s, paced, until)
+    prefix = PathPrefix(Kind.READ_LIKE, Scope.ALL, 0.0, 500.0, 1_000.0, 1.0, 0.0)
+    draw = Random(seed).random
+    starters: list[_Starter] = []
+
+    def begin(number: int) -> None:
+        terms = Deployment(number % 3, 3, count, number, (prefix,), must_ask_in=1e3 * must_ask_s)
+        starters.append(_Starter(bank, number, terms, seed * 100_003 + number))
+
+    for number in range(count):
+        bank.world.at(1e3 * boot_s * draw(), begin, number)
+    bank.world.run(until)
+    listed = sorted(s.listed_at for s in starters)
+    times = bank.times
+    busiest = max((bisect_left(times, at + 100.0) - i for i, at in enumerate(times)), default=0)
+    return Opening(count, paced, len(times) / count, sum(t < 1e3 * down_s for t in times) / count,
+                   bank.turns.refused, bank.turns.longest, busiest, listed[(count - 1) // 2] / 1e3,
+                   listed[-1] / 1e3)
--- a/ospreyline/net/discovery.py
+++ b/ospreyline/net/discovery.py
@@ -8,6 +8,7 @@
 
 import asyncio
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import dataclass
 from typing import Any, Protocol, cast
 
@@ -85,6 +86,7 @@
         self.transport: asyncio.Transport | None = None
         self.heard = owner.loop.time()
         self.over = False
+        self.retry_after = 0.0  # ms; as it was told
         self._parser = httptools.HttpResponseParser(self)
         self._rest = bytearray()
 
@@ -102,6 +104,11 @@
         except httptools.HttpParserError as error:
             self.stop(f"malformed: {error}")
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if name.lower() == b"retry-after":
+            with suppress(ValueError):  # a date: the pages give seconds
+                self.retry_after = 1e3 * max(0.0, float(value))
+
     def on_headers_complete(self) -> None:
         if (status := self._parser.get_status_code()) != 200:
             self.stop(f"status {status}")
@@ -149,7 +156,7 @@
     """Calls to discovery: at most one watch, and calls for the whole list."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, at: tuple[str, int], rev: int, log: Log,
-                 tell: Callable[[News], None], tell_failed: Callable[[], None]) -> None:
+                 tell: Callable[[News], None], tell_failed: Callable[[float], None]) -> None:
         self.loop = loop
         self.at = at
         self.rev = rev
@@ -235,7 +242,7 @@
             self._former = None  # guards: its end says nothing of the new address
         elif why:
             self.log.warning("call to discovery failed", why=why, watch=call.watching)
-            self._tell_failed()
+            self._tell_failed(call.retry_after)
 
     def tidy(self) -> None:
         """End calls that have fallen silent. Guards: a discovery that was cut off says nothing."""
--- a/ospreyline/net/service.py
+++ b/ospreyline/net/service.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import replace
-from typing import TextIO, cast
+from typing import TYPE_CHECKING, TextIO, cast
 
 import structlog
 
@@ -18,6 +18,9 @@
 from ospreyline.net.clients import Clients
 from ospreyline.net.turn import Turn, clock
 
+if TYPE_CHECKING:
+    from ospreyline.operator import Operator
+
 TIDY = 0.25  # s between two rounds over idle connections and silent calls
 COUNTS = 20  # rounds between two lines of counts
 KEEP_ACCEPTING = 0.5  # s after the signal to stop: new connections still come
@@ -33,11 +36,12 @@
 class Service:
     """One balancer from its start to its end."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, post: Post) -> None:
+    def __init__(self, loop: asyncio.AbstractEventLoop, post: Post, operator: Operator | None = None) -> None:
         self._loop = loop
         self._post = post
+        self._operator = operator  # None: nothing that is off by default is on
         self._log = structlog.get_logger()
-        self.turn = Turn(loop, post)
+        self.turn = Turn(loop, post, operator)
         self.clients = Clients(loop, self.turn, self.turn.most_clients)
         self.at = post.listen
         self._longest = _longest(post)  # s: a visit that was taken under former settings may have that long
@@ -51,16 +55,21 @@
         self._log.info("serving", name=self._post.name, listen=f"{self.at[0]}:{self.at[1]}",
                        sockets=self._post.sockets)
 
-    def reload(self, reread: Callable[[], Post]) -> None:
-        """The file of the configuration may be new: its settings and discovery hold from now on."""
+    def reload(self, reread: Callable[[], tuple[Post, Operator | None]]) -> None:
+        """The files may be new: settings, discovery and what SIGHUP applies hold from now on."""
         if self.turn.closing:
             return
         try:
-            new = reread()
+            new, operator = reread()
         except FactError as error:
             self._log.error("configuration not reloaded, the old one stays", problem=str(error))
             return
-        if restart := self._post.needs_restart(new):
+        restart = self._post.needs_restart(new)
+        if operator is not None and self._operator is not None:
+            from ospreyline.operator import needs_restart
+
+            restart += needs_restart(self._operator, operator)
+        if restart:
             self._log.warning("changes that need a restart", keys=restart)
         moved = new.discovery != self.turn.discovery.at
         # what needs a restart stays as it is
@@ -71,6 +80,9 @@
             self.turn.adopt(new)
             self._longest = max(self._longest, _longest(new))
         self._post = new
+        if operator is not None and operator != self._operator:
+            self.turn.operate(operator)
+            self._operator = operator
         self._log.info("reloaded", discovery="{}:{}".format(*new.discovery), moved=moved, settings=settings)
         if moved:
             self.turn.discovery.move(new.discovery)
@@ -158,13 +170,14 @@
     )
 
 
-async def serve(post: Post, reread: Callable[[], Post]) -> None:
-    """Run a balancer until SIGTERM or SIGINT; SIGHUP reads its file again."""
+async def serve(post: Post, reread: Callable[[], tuple[Post, Operator | None]],
+                operator: Operator | None = None) -> None:
+    """Run a balancer until SIGTERM or SIGINT; SIGHUP reads its files again."""
     loop = asyncio.get_running_loop()
     told_to_stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, told_to_stop.set)
-    service = Service(loop, post)
+    service = Service(loop, post, operator)
     loop.add_signal_handler(signal.SIGHUP, service.reload, reread)
     service.start()
     gc.collect()
--- a/ospreyline/net/turn.py
+++ b/ospreyline/net/turn.py
@@ -12,10 +12,12 @@
 from collections.abc import Callable
 from hashlib import blake2b
 from heapq import heappop, heappush
-from typing import Any
+from math import inf
+from random import Random
+from typing import TYPE_CHECKING, Any
 
 import structlog
-from msgspec import structs
+from msgspec import json, structs
 
 from ospreyline.decide import Balancer, Visit
 from ospreyline.facts import Post
@@ -25,6 +27,11 @@
 from ospreyline.net.discovery import Discovery, News, Target
 from ospreyline.net.upstreams import Answer, Cut, Errand, Upstreams, Why, end_of, load_report
 
+if TYPE_CHECKING:
+    from ospreyline.fleet.kept import Keeping
+    from ospreyline.fleet.pace import Pace
+    from ospreyline.operator import Operator
+
 BACKSTOP = 15.0  # ms past its client timeout at which a visit that has no answer yet is answered anyhow
 FORGET = 60_000.0  # ms after which one that the list took away is forgotten
 PROBE_TIME_OUTS = 2.0  # a probe may take this many times as long as connecting may
@@ -56,8 +63,10 @@
 class Turn:
     """The `Host` of one balancer, and the `Door` of its clients."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, post: Post) -> None:
+    def __init__(self, loop: asyncio.AbstractEventLoop, post: Post, operator: Operator | None = None) -> None:
         self.logger: Any = structlog.get_logger()
+        self._pace: Pace | None = None  # of calls to the list service, if it is switched on
+        self._keeping: Keeping | None = None  # of the list on disk, likewise
         self.closing = False
         self.visits: dict[int, Taken] = {}
         self._ids: set[bytes] = set()  # of the open ones
@@ -84,17 +93,42 @@
         self.most_clients = part
         self.upstreams = Upstreams(loop, clock, part, post.connect_time_out, post.keep_idle,
                                    post.memory // 8)
-        known = discovery.read(post.known, self.logger)
+        if operator is not None:
+            self._switch_on(operator)
+        kept = self._keeping.known(post.known) if self._keeping is not None else post.known
+        known = discovery.read(kept, self.logger)
         self.discovery = Discovery(loop, post.discovery, known.rev if known else 0, self.logger,
                                    tell=lambda news: self.note(self._told, news),
-                                   tell_failed=lambda: self.note(self.balancer.told_nothing))
+                                   tell_failed=lambda wait: self.note(self._told_nothing, wait))
         now = clock()
         self.balancer = Balancer(self, post.terms, post.seed, now)
         self.balancer.told_all(now, self._lines(known) if known else [])
-        if not post.terms.ask_for_list:
+        if self._pace is not None:
+            self._pace.begin(now)
+            self._plan()
+        elif not post.terms.ask_for_list:
             self.discovery.watch(True)  # to the decisions it comes by itself: here a watch brings it
         self.note(lambda now: None)  # the first turn carries out what the start asked for
 
+    def _switch_on(self, operator: Operator) -> None:
+        """What the operator's file has on, and only that is imported."""
+        terms, lists = self._post.terms, operator.list
+        if lists.calls_per_s:
+            from ospreyline.fleet.pace import Pace
+
+            if self._pace is None:
+                draw = Random(self._post.seed + 1).random
+                self._pace = Pace(terms.number, terms.balancers, lists.calls_per_s, terms.must_ask_in, draw)
+            else:
+                self._pace.adopt(terms.number, terms.balancers, lists.calls_per_s, terms.must_ask_in)
+        elif self._pace is not None:
+            self._pace = None
+            self.note(self.balancer.told_nothing)  # it asks in its own way from now on
+        if lists.keep and self._keeping is None:
+            from ospreyline.fleet.kept import Keeping
+
+            self._keeping = Keeping(self._loop, lists.keep, 1e3 * lists.keep_for_s, self.logger)
+
     def _set(self, post: Post) -> None:
         self._post = post
         self.prefixes = {name.encode(): i for i, name in enumerate(post.prefix_names)}
@@ -113,10 +147,21 @@
         # guards: told as a first list it renews no subscription, and what is cold or drained stays so
         lines = [self._line(target, self._indices[uid]) for uid, target in self._targets.items()]
         self.balancer.told_changes(now, lines, first=True)
-        if not post.terms.ask_for_list and not self.discovery.watching:
+        if not post.terms.ask_for_list and not self.discovery.watching and self._pace is None:
             self.discovery.watch(True)
         self._turn()
 
+    def operate(self, operator: Operator) -> None:
+        """A new operator's file, already checked: what SIGHUP applies of it."""
+        paced = self._pace is not None
+        self._switch_on(operator)
+        if self._pace is not None and not paced:
+            # guards: a watch that stands is heard on; without one the first call takes its place
+            self._pace.called(clock())
+            if not self.discovery.watching:
+                self._pace.failed(clock())
+            self._plan()
+
     # -- the turn -----------------------------------------------------------------------------------------
 
     def note(self, call: Callable[..., None], *args: Any) -> None:
@@ -308,7 +353,32 @@
 
     # -- the list -----------------------------------------------------------------------------------------
 
+    def _plan(self) -> None:
+        """The next call is due at its time."""
+        if self._pace is not None and self._pace.due < inf:
+            self.wake(self._pace.due, self._call_list)
+
+    def _call_list(self, now: float) -> None:
+        if self._pace is not None and now >= self._pace.due:
+            self._pace.called(now)
+            self.discovery.watch(True)
+
+    def _wanted(self, now: float) -> None:
+        if self._pace is not None:
+            self._pace.wanted(now)
+            self._plan()
+
+    def _told_nothing(self, now: float, retry_after: float) -> None:
+        if self._pace is not None:
+            self._pace.failed(now, retry_after)
+            self._plan()
+        self.balancer.told_nothing(now)
+
     def _told(self, now: float, news: News) -> None:
+        if self._pace is not None:
+            self._pace.heard(now)
+        if self._keeping is not None:
+            self._keeping.told(changed=news.whole or bool(news.targets))
         lines = self._lines(news)
         if news.whole:
             self.balancer.told_all(now, lines)
@@ -367,6 +437,9 @@
 
     def tidy(self, now: float) -> None:
         """Forget upstreams that are long gone. Guards: a fleet is replaced again and again, under new ids."""
+        if self._keeping is not None:
+            self._keeping.tidy(self.discovery.rev, lambda: [
+                json.encode(target) for target in self._targets.values() if target.state != "left"])
         for uid, since in list(self._gone.items()):
             upstream = self._indices[uid]
             # one stays: what comes to a balancer that knows none is taken for its first list
@@ -412,6 +485,9 @@
         pass  # no way between balancers on sockets yet; what is told is only ever a hint
 
     def watch(self, on: bool) -> None:
+        if self._pace is not None:
+            self._to_do.append((self._wanted, ()))
+            return
         self._to_do.append((lambda now: self.discovery.watch(on), ()))
 
     def refresh(self) -> None:
--- /dev/null
+++ b/ospreyline/operator.py
@@ -0,0 +1,111 @@
+"""The operator's file: the one place where a part that is off by default is switched on.
+
+TOML, read into msgspec structs; `serve CONFIG --operator FILE` or `OSPREYLINE_OPERATOR` names it. Without
+one, or with an empty one, all is off and nothing of it is imported. Each key says what it does and whether
+SIGHUP applies it. What is wrong comes out as a `FactError` that names file, key and nearest known key.
+"""
+
+from __future__ import annotations
+
+import re
+import tomllib
+from collections.abc import Iterator
+from dataclasses import dataclass
+from difflib import get_close_matches
+from pathlib import Path
+from typing import Annotated, Any, get_type_hints
+
+import msgspec
+from msgspec import Meta
+
+from ospreyline.facts import FactError
+
+RELOADED, AT_START = {"sighup": True}, {"sighup": False}
+_UNKNOWN = re.compile(r"Object contains unknown field `(.*)`")
+
+
+class Lists(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """`[list]`: how the list of upstreams is had."""
+
+    calls_per_s: Annotated[float, Meta(ge=0, le=1e6, extra=RELOADED, description=(
+        "what the list service can do, all together; the bank's calls are then spread evenly over the time "
+        "that it needs for all, and tried again no faster. 0: each balancer guesses alone"))] = 0.0
+    keep: Annotated[str, Meta(extra=AT_START, description=(
+        "file in which the last accepted list is kept, for the next start; empty: none is kept. Every "
+        "balancer needs one of its own"))] = ""
+    keep_for_s: Annotated[float, Meta(ge=1, le=1e9, extra=AT_START, description=(
+        "how old a kept list may be at a start"))] = 86_400.0
+
+
+class Operator(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """The whole file."""
+
+    list: Lists = Lists()
+
+
+@dataclass(slots=True, frozen=True)
+class Key:
+    """One key of the file, its value, and where that comes from."""
+
+    name: str
+    value: Any
+    origin: str
+    sighup: bool
+    about: str
+
+
+OFF = Operator()
+
+
+def _tables() -> dict[str, type[msgspec.Struct]]:
+    return {name: kind for name, kind in get_type_hints(Operator).items()}
+
+
+def _known() -> list[str]:
+    return [*_tables(), *(f for table in _tables().values() for f in table.__struct_fields__)]
+
+
+def parse(text: str) -> Operator:
+    """The file's text, checked; `FactError` that names the key."""
+    try:
+        return msgspec.convert(tomllib.loads(text), Operator, strict=False)
+    except tomllib.TOMLDecodeError as error:
+        raise FactError(str(error)) from error
+    except msgspec.ValidationError as error:
+        what, _, path = str(error).partition(" - at `$")
+        where = path.rstrip("`").removeprefix(".")
+        if unknown := _UNKNOWN.match(what):
+            near = get_close_matches(unknown[1], _known(), 1)
+            at = f"{where}.{unknown[1]}" if where else unknown[1]
+            raise FactError(f"{at}: unknown key" + (f", {near[0]!r}?" if near else "")) from None
+        raise FactError(f"{where}: {what}" if where else what) from None
+
+
+def load(path: Path | None) -> Operator:
+    """The operator's file; without one everything is off. `FactError` that names file and key."""
+    if path is None:
+        return OFF
+    try:
+        return parse(path.read_text("utf-8"))
+    except (OSError, UnicodeDecodeError) as error:
+        raise FactError(f"{path}: {getattr(error, 'strerror', None) or error}") from error
+    except FactError as error:
+        raise FactError(f"{path}: {error}") from error
+
+
+def keys(operator: Operator, path: Path | None) -> Iterator[Key]:
+    """Every key with its effective value and where it comes from."""
+    given = tomllib.loads(path.read_text("utf-8")) if path is not None else {}
+    for table, kind in _tables().items():
+        hints = get_type_hints(kind, include_extras=True)
+        for name in kind.__struct_fields__:
+            meta: Meta = hints[name].__metadata__[0]
+            origin = str(path) if name in given.get(table, {}) else "default"
+            yield Key(f"{table}.{name}", getattr(getattr(operator, table), name), origin,
+                      bool((meta.extra or {})["sighup"]), meta.description or "")
+
+
+def needs_restart(old: Operator, new: Operator) -> list[str]:
+    """The keys that differ and that a reload leaves as they are."""
+    before = {key.name: key for key in keys(old, None)}
+    return [key.name for key in keys(new, None) if not key.sighup and key.value != before[key.name].value]
--- a/ospreyline/rig/run.py
+++ b/ospreyline/rig/run.py
@@ -259,9 +259,21 @@
         await self.tell_clients(do="starting", balancers=balancers)
 
     def _process(self, b: int) -> dict[str, Any]:
-        return {"name": f"b{b}", "log": str(self.out / "logs" / f"b{b}.log"),
-                "command": [sys.executable, "-m", "ospreyline", "serve",
-                            str(self.out / "config" / f"b{b}.json")]}
+        command = [sys.executable, "-m", "ospreyline", "serve", str(self.out / "config" / f"b{b}.json")]
+        if self.scenario.rig.operator:
+            command += ["--operator", str(self.out / "config" / f"b{b}.toml")]
+        return {"name": f"b{b}", "log": str(self.out / "logs" / f"b{b}.log"), "command": command}
+
+    def _operator(self, b: int) -> str:
+        """The operator's file of one balancer."""
+        lines = []
+        for table, keys in self.scenario.rig.operator.items():
+            lines.append(f"[{table}]")
+            for key, value in keys.items():
+                if isinstance(value, str):
+                    value = value.replace("{b}", f"b{b}").replace("{out}", str(self.out))
+                lines.append(f"{key} = {_JSON.encode(value).decode()}")  # plain values read alike in TOML
+        return "\n".join(lines) + "\n"
 
     # news of the parts
 
@@ -416,6 +428,8 @@
             told = configuration(s, b, f"{address(1, b)}:0", "{}:{}".format(*asks),
                                  self._streams.number(f"balancer-{b}") % (1 << 53), known)
             (self.out / "config" / f"b{b}.json").write_bytes(_JSON.encode(told))
+            if s.rig.operator:
+                (self.out / "config" / f"b{b}.toml").write_text(self._operator(b))
 
     async def _stand_relays(self, at: dict[int, Any]) -> None:
         s = self.scenario
--- a/ospreyline/rig/scenario.py
+++ b/ospreyline/rig/scenario.py
@@ -34,6 +34,8 @@
     queue: int = 50  # calls that wait at the list service; more are refused with 503
     retry_after_s: float = 0.0  # said with its 503; 0: not said
     ready_s: float = 30.0  # in which all processes have to be up
+    # the operator's file of each balancer, by tables; in texts {b} is its name and {out} the run's folder
+    operator: dict[str, dict[str, Any]] = msgspec.field(default_factory=dict)
     must_ask_s: float = 10.0  # without a call after which a balancer counts as told of everything
     lag_ms: float = 250.0  # that the rig's own processes may be late before a day is void
 
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -14,6 +14,7 @@
 from ospreyline.decide import Balancer, Visit
 from ospreyline.host import Deployment, End, Kind, Listed, PathPrefix, Readiness, Scope
 from ospreyline.net.service import Service
+from ospreyline.operator import Operator
 
 
 def prefix(kind: Kind, scope: Scope = Scope.ALL, gain: float = 1.0) -> PathPrefix:
@@ -241,7 +242,7 @@
 
 @asynccontextmanager
 async def running(*peers: Peer, registry: Peer | None = None, known: list[dict[str, Any]] | None = None,
-                  **more: Any) -> AsyncIterator[Service]:
+                  operator: Operator | None = None, **more: Any) -> AsyncIterator[Service]:
     """A balancer on sockets in front of peers that have started, or start now."""
     for peer in (*peers, *([registry] if registry else [])):
         if not peer.port:
@@ -249,7 +250,7 @@
     if known is None:
         known = [target(f"u{i}", peer.port) for i, peer in enumerate(peers)]
     told = configuration(known, registry.port if registry else 1, **more)
-    service = Service(asyncio.get_running_loop(), facts.post(json.dumps(told).encode(), {}))
+    service = Service(asyncio.get_running_loop(), facts.post(json.dumps(told).encode(), {}), operator)
     service.start()
     try:
         yield service
--- /dev/null
+++ b/tests/test_cold_start.py
@@ -0,0 +1,261 @@
+"""The start of a bank: calls to the list service in turn, the kept list, the operator's file."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from math import inf
+from pathlib import Path
+from random import Random
+from time import time
+
+import pytest
+from click.testing import CliRunner
+from stand_ins import Registry, configuration, running, target
+
+from ospreyline import operator
+from ospreyline.__main__ import main
+from ospreyline.facts import FactError
+from ospreyline.fleet import kept
+from ospreyline.fleet.pace import Pace
+from ospreyline.lab.turns import Turns
+from ospreyline.net.turn import clock
+
+
+def bank(count: int, calls_per_s: float) -> list[Pace]:
+    return [Pace(n, count, calls_per_s, 10_000.0, Random(n).random) for n in range(count)]
+
+
+def played(paces: list[Pace], calls_per_s: float, seconds: float, down: tuple[float, float] = (0.0, 0.0),
+           queue: int = 50) -> tuple[Turns, dict[int, float], list[float]]:
+    """A bank that starts at 0 against a service that is down for a while: when each was served, all calls."""
+    turns, served, calls = Turns(1e3 / calls_per_s, queue), {}, []
+    for pace in paces:
+        pace.begin(0.0)
+    now = 0.0
+    while now < 1e3 * seconds:
+        number, pace = min(enumerate(paces), key=lambda p: p[1].due)
+        now = pace.due
+        if now == inf:
+            break
+        pace.called(now)
+        calls.append(now)
+        if down[0] <= now < down[1] or (wait := turns.call(now)) is None:
+            pace.failed(now)
+        else:
+            served[number] = now + wait
+            pace.heard(now + wait)
+    return turns, served, calls
+
+
+@pytest.mark.parametrize("count", [3, 30, 400, 1_000])
+def test_a_bank_that_starts_at_once_is_served_in_turn(count):
+    # met before: 200 balancers, half of them listed after 7.4 s by a service that could do it in 0.8 s
+    turns, served, calls = played(bank(count, 250.0), 250.0, 30.0)
+    assert len(served) == len(calls) == count and turns.longest <= 2
+    assert max(served.values()) <= 1e3 * count / (0.8 * 250.0) + 10.0
+
+
+@pytest.mark.parametrize("count", [30, 400])
+def test_after_a_failure_of_20_s_the_bank_comes_back_no_faster_than_it_is_served(count):
+    turns, served, calls = played(bank(count, 250.0), 250.0, 60.0, down=(0.0, 20_000.0))
+    assert len(served) == count and turns.longest <= 10 and not turns.refused
+    assert max(served.values()) <= 24_300.0
+    assert sum(at < 20_000.0 for at in calls) <= 8 * count
+
+
+def test_watches_that_all_end_at_once_are_asked_for_in_turn():
+    paces = bank(400, 250.0)
+    _, served, _ = played(paces, 250.0, 30.0)
+    assert len(served) == 400
+    for pace in paces:
+        pace.failed(50_000.0)
+    turns = Turns(4.0, 50)
+    assert all(turns.call(due) is not None for due in sorted(pace.due for pace in paces))
+    assert turns.longest <= 2 and min(p.due for p in paces) >= 50_250.0
+
+
+@pytest.mark.parametrize(("retry_after", "least", "most"), [
+    (0.0, 1_000.0, 1_050.0), (3_000.0, 3_000.0, 3_150.0), (3_600_000.0, 4_000.0, 4_200.0)])
+def test_a_refusal_is_honoured_but_never_until_the_list_counts_as_told(retry_after, least, most):
+    pace = Pace(0, 3, 250.0, 10_000.0, Random(1).random)
+    pace.begin(0.0)
+    pace.called(0.0)
+    pace.failed(100.0, retry_after)
+    assert least <= pace.due - 100.0 <= most
+
+
+def test_the_decisions_wish_for_a_watch_brings_no_second_call():
+    pace = Pace(1, 2, 250.0, 10_000.0, Random(1).random)
+    pace.begin(0.0)
+    due = pace.due
+    pace.wanted(0.0)
+    assert pace.due == due
+    pace.called(due)
+    pace.wanted(due + 1)
+    assert pace.due == inf
+
+
+TARGETS = [json.dumps(target(f"s-{i}", 9_000 + i)).encode() for i in range(3)]
+
+
+def test_a_kept_list_comes_back_as_it_was():
+    found = kept.decode(kept.encode(1_000.0, 7, TARGETS), 61_000.0, 86_400e3)
+    assert (found.rev, found.age, found.count) == (7, 60_000.0, 3)
+    assert json.loads(found.known) == {"rev": 7, "all": True, "targets": [json.loads(t) for t in TARGETS]}
+
+
+WHOLE = kept.encode(1_000.0, 7, TARGETS)
+
+
+def test_a_kept_list_that_was_cut_short_anywhere_is_not_taken():
+    for cut in range(len(WHOLE)):
+        with pytest.raises(kept.KeptError):
+            kept.decode(WHOLE[:cut], 2_000.0, 86_400e3)
+
+
+@pytest.mark.parametrize(("text", "now", "why"), [
+    (WHOLE.replace(b"9001", b"9999"), 2_000.0, "checksum"),
+    (b"ospreyline-list 2 " + WHOLE[18:], 2_000.0, "no form"),
+    (WHOLE, 90_000_000.0, "s old"), (WHOLE, -400_000.0, "future")])
+def test_a_kept_list_that_is_damaged_or_old_is_taken_not_at_all(text, now, why):
+    with pytest.raises(kept.KeptError, match=why):
+        kept.decode(text, now, 86_400e3)
+
+
+@pytest.fixture
+def lists(tmp_path) -> operator.Operator:
+    return operator.parse(f'[list]\nkeep = "{tmp_path / "kept"}"\ncalls_per_s = 250\n')
+
+
+def logged(service, monkeypatch) -> list[str]:
+    lines: list[str] = []
+    for level in ("info", "warning"):
+        monkeypatch.setattr(service.turn.logger, level, lambda event, **more: lines.append(event))
+    return lines
+
+
+async def until(holds) -> None:
+    async with asyncio.timeout(5):
+        while not holds():
+            await asyncio.sleep(0.01)
+
+
+def test_a_balancer_keeps_what_it_was_told_and_starts_from_it(lists, tmp_path):
+    async def story():
+        registry = Registry()
+        async with running(registry=registry, known=[], operator=lists):
+            await registry.tell(41, target("s-9", 9_009), whole=True)
+            await until((tmp_path / "kept").exists)
+        assert b"after=3" in registry.requests[0][0]
+        again = Registry()
+        async with running(registry=again, known=[], operator=lists) as service:
+            assert service.turn.ready()
+            await again.until(lambda: bool(again.requests))
+            assert b"watch=1&after=41" in again.requests[0][0]
+
+    asyncio.run(story())
+
+
+@pytest.mark.parametrize("text", [b"", b"nonsense", WHOLE[:50], kept.encode(5.0, 41, TARGETS)])
+def test_a_kept_list_that_cannot_be_used_costs_a_line_of_the_log_and_nothing_else(text, lists, tmp_path):
+    async def story():
+        (tmp_path / "kept").write_bytes(text)
+        registry = Registry()
+        async with running(registry=registry, operator=lists, known=[target("s-1", 9_001)]) as service:
+            assert service.turn.ready() and list(service.turn._targets) == ["s-1"]
+            await registry.until(lambda: bool(registry.requests))
+            assert b"after=3" in registry.requests[0][0]
+
+    asyncio.run(story())
+
+
+def test_a_configured_list_that_is_newer_wins(lists, tmp_path):
+    async def story():
+        (tmp_path / "kept").write_bytes(kept.encode(time() * 1e3, 2, TARGETS))
+        async with running(operator=lists, known=[target("s-1", 9_001)]) as service:  # version 3
+            assert list(service.turn._targets) == ["s-1"]
+
+    asyncio.run(story())
+
+
+def test_a_disk_that_is_gone_costs_the_next_start_its_list_and_nothing_else(tmp_path):
+    on = operator.parse(f'[list]\nkeep = "{tmp_path / "no" / "folder"}"\n')
+
+    async def story():
+        registry = Registry()
+        async with running(registry=registry, known=[], operator=on) as service:
+            await registry.tell(41, target("s-9", 9_009), whole=True)
+            await until(lambda: service.turn._keeping._writing is None and service.turn._keeping._written)
+            assert service.turn.ready()
+
+    asyncio.run(story())
+
+
+def test_a_refused_call_is_made_again_when_the_service_said(lists):
+    async def story():
+        registry = Registry()
+        registry.answers = ["unused"]
+
+        async def refuse(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            registry.requests.append((b"", b""))
+            writer.write(b"HTTP/1.1 503 Busy\r\nRetry-After: 2.5\r\nContent-Length: 0\r\n\r\n")
+            writer.close()
+            registry.changed.set()
+
+        registry._serve = refuse
+        async with running(registry=registry, operator=lists) as service:
+            await registry.until(lambda: bool(registry.requests))
+            await until(lambda: service.turn._pace.due < inf)
+            assert service.turn._pace.failures == 1
+            assert 2_000.0 < service.turn._pace.due - clock() <= 2_700.0
+
+    asyncio.run(story())
+
+
+@pytest.mark.parametrize(("text", "said"), [
+    ("[lst]\n", "lst: unknown key, 'list'?"),
+    ("[list]\ncalls_per = 3\n", "list.calls_per: unknown key, 'calls_per_s'?"),
+    ("[list]\ncalls_per_s = -1\n", "list.calls_per_s: "),
+    ("[list]\nkeep = 3\n", "list.keep: "), ("[list", "Expected")])
+def test_what_is_wrong_with_the_operators_file_is_one_line_that_names_it(text, said, tmp_path):
+    (tmp_path / "operator.toml").write_text(text)
+    with pytest.raises(FactError) as error:
+        operator.load(tmp_path / "operator.toml")
+    assert f"operator.toml: {said}" in str(error.value) and "\n" not in str(error.value)
+
+
+def test_the_example_switches_nothing_on_and_names_every_key():
+    path = Path(__file__).parent.parent / "deploy" / "operator.toml"
+    assert operator.load(path) == operator.OFF
+    assert {key.origin for key in operator.keys(operator.OFF, path)} == {str(path)}
+
+
+def test_check_and_show_say_what_holds_and_where_it_comes_from(tmp_path):
+    told, on = tmp_path / "b.json", tmp_path / "operator.toml"
+    told.write_text(json.dumps(configuration([])))
+    on.write_text("[list]\ncalls_per_s = 250\n")
+    call = [str(told), "--operator", str(on)]
+    assert "for a list service of 250 a second" in CliRunner().invoke(main, ["check", *call]).output
+    shown = CliRunner().invoke(main, ["config", "show", *call], env={"PROXY_NAME": "other"}).output
+    assert f"list.calls_per_s = 250.0  # {on}; SIGHUP applies it" in shown
+    assert "list.keep = ''  # default; SIGHUP does not apply it" in shown
+    assert "name = other  # PROXY_NAME" in shown and f"listen = 127.0.0.1:0  # {told}" in shown
+    found = CliRunner().invoke(main, ["serve", str(told), "--operator", str(tmp_path / "none.toml")])
+    assert found.exit_code == 2 and len(found.output.splitlines()) == 1
+
+
+def test_a_reload_switches_the_pace_on_and_off(lists):
+    async def story():
+        registry = Registry()
+        async with running(registry=registry) as service:
+            await registry.tell(4, target("s-1", 9_001))
+            post = service._post
+            service._operator = operator.OFF
+            service.reload(lambda: (post, lists))
+            assert service.turn._pace is not None and service.turn.discovery.watching
+            service.reload(lambda: (post, operator.OFF))
+            assert service.turn._pace is None and service.turn._keeping is not None
+
+    asyncio.run(story())
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -6,9 +6,10 @@
 from click.testing import CliRunner
 
 from ospreyline.__main__ import main
+from ospreyline.lab.turns import Turns
 from ospreyline.lab.words import ScenarioError
 from ospreyline.rig import results, scenario
-from ospreyline.rig.registry import Listing, Turns
+from ospreyline.rig.registry import Listing
 from ospreyline.rig.wire import Reading
 
 REQUEST = (b"POST /change/x?y=1 HTTP/1.1\r\nHost: h\r\nX-Trace-Id: 7a\r\nContent-Length: 4\r\n\r\nbody"
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -235,7 +235,7 @@
 def moved(service, registry, **changes):
     """Reload a file that names another discovery."""
     told = configuration([], registry.port) | changes
-    service.reload(lambda: facts.post(json.dumps(told).encode(), {}))
+    service.reload(lambda: (facts.post(json.dumps(told).encode(), {}), None))
 
 
 @pytest.mark.parametrize("first", ["whole", "changes"])
@@ -299,7 +299,7 @@
             file.write_bytes(text)
         async with running(Peer(), registry=registry) as service:
             await registry.until(lambda: bool(registry.writers))
-            service.reload(lambda: facts.load(file, {}, again=True))
+            service.reload(lambda: (facts.load(file, {}, again=True), None))
             assert service.turn.discovery.at[1] == registry.port and registry.writers
             assert (await (await caller(service)).ask(request()))[0] == 200
 
--- a/tests/test_switch.py
+++ b/tests/test_switch.py
@@ -68,7 +68,7 @@
 
 
 def switch(service: Service, text: bytes) -> None:
-    service.reload(lambda: facts.post(text, {}))
+    service.reload(lambda: (facts.post(text, {}), None))
 
 
 async def load(service: Service, path: str, stop: asyncio.Event, statuses: Counter[tuple[str, int]]) -> None:
