--- a/ospreyline/rig/command.py
+++ b/ospreyline/rig/command.py
@@ -29,10 +29,10 @@
 
         try:
             call(*args, **kwargs)
-        except ScenarioError as error:
+        except (ScenarioError, OSError) as error:
             click.echo(f"ospreyline: {error}", err=True)
             sys.exit(2)
-        except (RigError, OSError) as error:
+        except RigError as error:  # the run itself could not be carried out
             click.echo(f"ospreyline: {error}", err=True)
             sys.exit(3)
         except (KeyboardInterrupt, asyncio.CancelledError):
--- a/ospreyline/rig/keeper.py
+++ b/ospreyline/rig/keeper.py
@@ -47,7 +47,7 @@
                 with open(one["log"], "ab") as log:
                     self._procs[one["name"]] = subprocess.Popen(
                         one["command"], stdin=subprocess.DEVNULL, stdout=log, stderr=log,
-                        env={**os.environ, **one.get("env", {})}, process_group=0)
+                        cwd=one["folder"], process_group=0)
                 self.worker.row("spawned", name=one["name"], pid=self._procs[one["name"]].pid)
             pids = {one["name"]: self._procs[one["name"]].pid for one in order["processes"]}
             self.worker.say("spawned", pids=pids)
--- a/ospreyline/rig/run.py
+++ b/ospreyline/rig/run.py
@@ -27,6 +27,7 @@
 
 WAVE = 25  # balancers started together on a warm start
 _JSON = msgspec.json.Encoder()
+ROOT = Path(__file__).parent.parent.parent  # where the package lies
 SEMANTICS = {"read-like": "repeatable", "tagged": "by_key", "mutating": "once"}
 
 
@@ -51,7 +52,7 @@
         with errors.open("ab") as log:
             self._proc = await asyncio.create_subprocess_exec(
                 sys.executable, "-m", "ospreyline.rig.worker", kind, stdin=asyncio.subprocess.PIPE,
-                stdout=asyncio.subprocess.PIPE, stderr=log, limit=1 << 26)
+                stdout=asyncio.subprocess.PIPE, stderr=log, limit=1 << 26, cwd=ROOT, start_new_session=True)
         assert self._proc.stdin is not None
         self._proc.stdin.write(_JSON.encode(setup) + b"\n")
         self._reader = asyncio.get_running_loop().create_task(self._read())
@@ -164,7 +165,7 @@
                  live: Callable[[float, list[dict[str, int]]], None] | None = None) -> None:
         self.scenario = s = scenario
         self.seed = seed
-        self.out = out
+        self.out = out.absolute()
         self._told = told
         self._live = live  # told each half second how it goes: s of the day, counts by zone
         self._streams = Streams(seed)
@@ -262,7 +263,8 @@
         command = [sys.executable, "-m", "ospreyline", "serve", str(self.out / "config" / f"b{b}.json")]
         if self.scenario.rig.operator:
             command += ["--operator", str(self.out / "config" / f"b{b}.toml")]
-        return {"name": f"b{b}", "log": str(self.out / "logs" / f"b{b}.log"), "command": command}
+        return {"name": f"b{b}", "log": str(self.out / "logs" / f"b{b}.log"), "command": command,
+                "folder": self.scenario.rig.program or str(ROOT)}
 
     def _operator(self, b: int) -> str:
         """The operator's file of one balancer."""
--- a/ospreyline/rig/scenario.py
+++ b/ospreyline/rig/scenario.py
@@ -36,6 +36,7 @@
     ready_s: float = 30.0  # in which all processes have to be up
     # the operator's file of each balancer, by tables; in texts {b} is its name and {out} the run's folder
     operator: dict[str, dict[str, Any]] = msgspec.field(default_factory=dict)
+    program: str = ""  # folder of another checkout, whose balancers are played; empty: this one's
     must_ask_s: float = 10.0  # without a call after which a balancer counts as told of everything
     lag_ms: float = 250.0  # that the rig's own processes may be late before a day is void
 
@@ -109,13 +110,30 @@
     if text is None:
         raise ScenarioError(f"{name}: no such file or shipped scenario{words.nearest(name, shipped())}")
     try:
-        return build(tomllib.loads(text))
+        return build(_whole(tomllib.loads(text)))
     except tomllib.TOMLDecodeError as error:
         raise ScenarioError(f"{name}: {error}") from error
     except ScenarioError as error:
         raise ScenarioError(f"{name}: {error}") from error
 
 
+def _whole(tree: dict[str, Any]) -> dict[str, Any]:
+    """A file that is `like` a shipped one has that one's keys where it has none of its own."""
+    like = tree.pop("like", None)
+    if like is None:
+        return tree
+    if like not in shipped():
+        raise ScenarioError(f"like: no shipped scenario {like!r}{words.nearest(str(like), shipped())}")
+    return _over(_whole(tomllib.loads(shipped()[like])), tree)
+
+
+def _over(base: dict[str, Any], top: Mapping[str, Any]) -> dict[str, Any]:
+    for key, value in top.items():
+        base[key] = _over(base[key], value) if isinstance(value, dict) and isinstance(
+            base.get(key), dict) else value
+    return base
+
+
 def build(tree: Mapping[str, Any]) -> Scenario:
     """A checked scenario from plain tables."""
     try:
@@ -145,6 +163,8 @@
     for key in ("relay_processes", "client_processes", "upstream_processes"):
         if not 1 <= getattr(s.rig, key) <= 16:
             yield f"rig.{key}", f"{getattr(s.rig, key)} is not between 1 and 16"
+    if s.rig.program and not (Path(s.rig.program) / "ospreyline" / "__main__.py").is_file():
+        yield "rig.program", f"{s.rig.program!r} holds no ospreyline/__main__.py"
     names: list[str] | None = None
     for i, fault in enumerate(s.faults):
         at = f"faults[{i}]"
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import subprocess
+import sys
+
 import pytest
 from click.testing import CliRunner
 
@@ -90,3 +93,20 @@
 def test_bad_input_is_one_line_and_status_2(args):
     found = CliRunner().invoke(main, ["rig", *args])
     assert found.exit_code == 2 and len(found.output.splitlines()) == 1, found.output
+
+
+def test_serving_with_everything_off_imports_nothing_of_it():
+    script = ("import sys; from ospreyline.net import service; "
+              "print([n for n in sys.modules if n.startswith(('ospreyline.fleet', 'ospreyline.rig', "
+              "'ospreyline.operator', 'ospreyline.lab', 'tomllib'))])")
+    done = subprocess.run([sys.executable, "-c", script], capture_output=True, text=True, check=True)
+    assert done.stdout.strip() == "[]"
+
+
+def test_the_rig_imports_nothing_of_what_it_judges():
+    script = ("import sys; from ospreyline.rig import clients, command, keeper, referee, registry, relays, "
+              "results, run, script, upstreams, worker; "
+              "print([n for n in sys.modules if n.startswith(('ospreyline.net', 'ospreyline.fleet', "
+              "'ospreyline.decide', 'ospreyline.operator'))])")
+    done = subprocess.run([sys.executable, "-c", script], capture_output=True, text=True, check=True)
+    assert done.stdout.strip() == "[]"
