Membership, links and lists between balancers: pure modules, simulated network, frames; off by default

Need: later pieces stand on balancers that know and reach each other, and a cold start gains most when a few ask. members.py: suspicion before death, refutation, indirect asking, a process that stood still doubts itself. lists.py: two of each zone pass the list on while their own watch stands. links.py and bank.py: thin I/O.

--- a/ospreyline/__main__.py
+++ b/ospreyline/__main__.py
@@ -7,7 +7,8 @@
 import sys
 from importlib import import_module
 from pathlib import Path
-from typing import TYPE_CHECKING
+from time import time
+from typing import TYPE_CHECKING, Any
 
 import click
 
@@ -131,6 +132,9 @@
         on.append(f"calls spread for a list service of {operator.list.calls_per_s:g} a second")
     if operator is not None and operator.list.keep:
         on.append(f"the list is kept in {operator.list.keep} for {operator.list.keep_for_s:g} s")
+    if operator is not None and operator.fleet.bank:
+        on.append(f"links in the bank {operator.fleet.bank!r} on {operator.fleet.listen}, "
+                  f"{len(operator.fleet.peers)} peers named")
     click.echo("switched on by the operator's file: " + ("; ".join(on) or "nothing"))
 
 
@@ -164,6 +168,40 @@
                    f"SIGHUP {'applies it' if one.sighup else 'does not apply it'}; {one.about}")
 
 
+@main.group()
+def fleet() -> None:
+    """The other balancers of the bank, as one of them knows them."""
+
+
+@fleet.command()
+@click.argument("file", type=click.Path(dir_okay=False, path_type=Path))
+def status(file: Path) -> None:
+    """Print the status FILE of a running balancer (`fleet.status`); status 1 if it does not hear all."""
+    import msgspec
+
+    try:
+        told = msgspec.json.decode(file.read_bytes(), type=dict[str, Any])
+        age = time() - told["at"]
+        click.echo(f"{told['name']} in {told['bank']!r}: {told['words']}, {age:.0f} s ago"
+                   + (" - this is old" if age > 10 else ""))
+        if told["superseded"]:
+            click.echo("a newer process has its name: it speaks no more")
+        click.echo(f"linked to {', '.join(told['linked']) or 'nobody'}; "
+                   f"list version {told['list_rev']}, "
+                   + ("passes it on" if told["passes_the_list_on"] else
+                      f"listens to {', '.join(told['listens_to']) or 'nobody'}"))
+        for member in told["members"]:
+            click.echo(f"  {member['name']:16} {member['state']:10} {member['zone']:12} "
+                       f"{member['address']:22} for {member['for_s']:g} s")
+    except OSError as error:
+        click.echo(f"ospreyline: {file}: {error.strerror}", err=True)
+        sys.exit(2)
+    except (msgspec.MsgspecError, KeyError, TypeError) as error:
+        click.echo(f"ospreyline: {file}: no status of a balancer ({error})", err=True)
+        sys.exit(2)
+    sys.exit(0 if told["hears"] >= told["of"] and age <= 10 else 1)
+
+
 @main.command(name="version")
 def show_version() -> None:
     """Print the version."""
--- /dev/null
+++ b/ospreyline/fleet/bank.py
@@ -0,0 +1,220 @@
+"""One balancer among those of its bank: membership, lists and hints over links. Thin: it decides nothing.
+
+It reads the clock, hands what came to the pure modules (`members`, `lists`), and sends what they want sent.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from pathlib import Path
+from random import Random
+from time import monotonic, time
+from typing import Any
+
+import msgspec
+
+from ospreyline import facts
+from ospreyline.fleet.frames import ALIVE, DEAD, SUSPECT, Entry, Hint, Listen, Message, Passed
+from ospreyline.fleet.frames import Deaf as DeafMessage
+from ospreyline.fleet.kept import write
+from ospreyline.fleet.links import Links
+from ospreyline.fleet.lists import Lists, News
+from ospreyline.fleet.members import Members, State
+
+LOOK = 0.05  # s between two looks at what is due
+IDLE = 10.0  # s after which a link that nobody needs is closed
+STATUS = 2.0  # s between two writings of the status file
+
+
+class Bank:
+    """What the front holds of the bank, where the operator's file has it on."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, log: Any, name: str, zone: str, on: Any, seed: int,
+                 listed: Callable[[News], None], hinted: Callable[[bytes], None],
+                 hasten: Callable[[], None]) -> None:
+        """`on` is the `[fleet]` table; `hasten` is called when the list is to be asked for without delay."""
+        self._loop = loop
+        self._log = log
+        self._on = on
+        self._listed, self._hinted, self._hasten = listed, hinted, hasten
+        draw = Random(seed + 2).random
+        seeds = [Entry(n, at, "", 0, 0, ALIVE) for n, at in on.named()]
+        # guards: a clock that was set back would make us older than we were; the next hello tells, see below
+        me = Entry(name, on.address or on.listen, zone, int(time() * 1e3), 0, ALIVE)
+        self.members = Members(me, seeds, draw, self._now())
+        self.lists = Lists(name, zone, draw, self._now()) if on.lists else None
+        self.links = Links(loop, on.bank, log, lambda: self.members.me, self._greeted, self._heard,
+                           self._lost, self._namesake)
+        self._timer: asyncio.TimerHandle | None = None
+        self._hears = (1, 1)
+        self._alone = False  # nobody tells us the list
+        self._status_at = 0.0
+        self._writing: asyncio.Future[None] | None = None
+        if self.lists is not None:
+            # until members are known, the configured peers are taken to live, in a zone that nobody names
+            self.lists.members(self._now(), [(n, zone) for n, _ in on.named() if n != name])
+
+    @staticmethod
+    def _now() -> float:
+        return monotonic() * 1e3
+
+    async def start(self) -> None:
+        """Listen, and speak from now on."""
+        at = facts.address(self._on.listen, lowest_port=0)
+        assert at is not None  # checked when the file was read
+        found = await self.links.listen(at)
+        if not self._on.address:
+            me = self.members.me
+            self.members.me = Entry(me.name, "{}:{}".format(*found), me.zone, me.start, me.bumps, me.state)
+        self._log.info("fleet listens", bank=self._on.bank, listen="{}:{}".format(*found))
+        self._look()
+
+    def _look(self) -> None:
+        self._timer = self._loop.call_later(LOOK, self._look)
+        now = self._now()
+        self.members.tick(now)
+        if self.lists is not None and not self.members.superseded:
+            self.lists.tick(now)
+            if not self._alone and self.lists.unheard(now):
+                self._hasten()
+            self._alone = self.lists.unheard(now)
+        self._carry_out()
+        self.links.tidy(set(self.members.neighbours) | set(self.lists.sources if self.lists else ()), IDLE)
+        if self._on.status and now >= self._status_at:
+            self._status_at = now + 1e3 * STATUS
+            self._write_status()
+
+    def _carry_out(self) -> None:
+        """What the pure modules want sent and said."""
+        out, self.members.out = self.members.out, []
+        news, self.members.news = self.members.news, []
+        if self.lists is not None:
+            out += self.lists.out
+            self.lists.out = []
+        for name, message in out:
+            self.links.send(name, facts.address(self.members.address(name)), message)
+        for entry, before in news:
+            if entry.state >= SUSPECT or before > ALIVE:
+                self._log.info("member", peer=entry.name, state=State[entry.state], zone=entry.zone)
+        if news:
+            self._roles()
+            hears = self.members.hears()
+            if hears != self._hears:
+                self._hears = hears
+                self._log.info("fleet", hears=hears[0], of=hears[1], words=words(*hears))
+
+    def _roles(self) -> None:
+        if self.lists is None:
+            return
+        before = self.lists.passing
+        living = [(n, m.entry.zone) for n, m in self.members.members.items() if m.entry.state < DEAD]
+        unmet = [(n, self.lists.zone) for n, _ in self._on.named()
+                 if n not in self.members.members and n != self.lists.name]
+        self.lists.members(self._now(), [*living, *unmet])
+        if self.lists.passing and not before:
+            self._hasten()
+
+    # links
+
+    def _greeted(self, entry: Entry, wanted: bool) -> None:
+        now = self._now()
+        self.members.linked_to(now, entry.name)
+        self.members.greeted(now, entry, wanted)
+        self._carry_out()
+
+    def _heard(self, name: str, message: Message) -> None:
+        now = self._now()
+        if isinstance(message, Hint):
+            self._hinted(message.body)
+        elif isinstance(message, Listen | Passed | DeafMessage):
+            if self.lists is not None:
+                news = self.lists.heard(now, name, message)
+                if news is not None:
+                    self._listed(news)
+        else:
+            self.members.heard(now, name, message)
+        self._carry_out()
+
+    def _lost(self, name: str) -> None:
+        now = self._now()
+        self.members.unlinked(now, name)
+        if self.lists is not None:
+            self.lists.gone(name)
+
+    def _namesake(self, entry: Entry) -> None:
+        """Another process has our name: the older one stops speaking."""
+        if entry.start > self.members.me.start and not self.members.superseded:
+            self.members.superseded = True
+            self._log.error("a newer process has our name: we speak no more", address=entry.address)
+
+    # what the front tells
+
+    def tell(self, body: bytes) -> None:
+        """A hint of the decisions, to all that are linked."""
+        for name in sorted(self.members.linked):
+            self.links.send(name, None, Hint(body=body))
+
+    def told(self, rev: int, whole: bool, targets: list[tuple[str, bool, bytes]]) -> None:
+        """The list service has said something on our own watch."""
+        if self.lists is not None:
+            self.lists.told(self._now(), rev, whole, targets)
+            self._carry_out()
+
+    def told_nothing(self) -> bool:
+        """Our own watch has ended or a call failed; whether others tell us the list meanwhile."""
+        if self.lists is None:
+            return False
+        self.lists.told_nothing(self._now())
+        self._carry_out()
+        return self.lists.hears(self._now())
+
+    def counts(self) -> dict[str, Any]:
+        """For the line of counts."""
+        hears, of = self.members.hears()
+        return {"fleet_hears": hears, "fleet_of": of, "fleet_links": len(self.links.by_name),
+                "fleet_dropped": self.links.dropped}
+
+    def leave(self) -> None:
+        self.members.leave(self._now())
+        self._carry_out()
+
+    def close(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        self.links.close()
+
+    # status
+
+    def status(self) -> dict[str, Any]:
+        hears, of = self.members.hears()
+        now = self._now()
+        return {
+            "name": self.members.me.name, "bank": self._on.bank, "at": time(), "hears": hears, "of": of,
+            "words": words(hears, of), "superseded": self.members.superseded, "doubt": self.members.doubt,
+            "neighbours": self.members.neighbours, "linked": sorted(self.links.by_name),
+            "passes_the_list_on": bool(self.lists and self.lists.passing),
+            "listens_to": self.lists.sources if self.lists else [],
+            "list_rev": self.lists.rev if self.lists else None,
+            "members": [{"name": n, "address": m.entry.address, "zone": m.entry.zone,
+                         "state": State[m.entry.state], "for_s": round((now - m.since) / 1e3, 1)}
+                        for n, m in sorted(self.members.members.items())]}
+
+    def _write_status(self) -> None:
+        if self._writing is not None:
+            return
+        text = msgspec.json.format(msgspec.json.encode(self.status())) + b"\n"
+        self._writing = self._loop.run_in_executor(None, write, Path(self._on.status), text)
+        self._writing.add_done_callback(self._written)
+
+    def _written(self, done: asyncio.Future[None]) -> None:
+        self._writing = None
+        if not done.cancelled() and (error := done.exception()) is not None:
+            self._log.warning("status not written", file=self._on.status, why=str(error))
+
+
+def words(hears: int, of: int) -> str:
+    """How much of the bank is heard, in words."""
+    if of <= 1:
+        return "alone by its configuration"
+    return "hears all" if hears >= of else "alone" if hears <= 1 else f"hears {hears} of {of}"
--- /dev/null
+++ b/ospreyline/fleet/frames.py
@@ -0,0 +1,159 @@
+"""What balancers of one bank say to one another, and its form on the wire. Pure: messages to bytes and back.
+
+A frame is a head (mark, version, length, checksum) and one message in MessagePack, a map with a tag. A reader
+passes over fields that it does not know, so versions that differ by one understand each other; anything else
+that cannot be read ends the link that it came on (`FrameError`) and nothing more.
+"""
+
+from __future__ import annotations
+
+from struct import Struct
+from zlib import crc32
+
+import msgspec
+
+VERSION = 1
+MOST = 1 << 20  # bytes of a message
+HEAD = Struct(">2sBxII")  # mark, version, length, checksum
+MARK = b"os"
+
+
+class FrameError(ValueError):
+    """What came is no frame of ours; the link that it came on ends."""
+
+
+class Entry(msgspec.Struct, frozen=True, array_like=True):
+    """What is known of a member. `start` tells its process, `bumps` how often that one has refuted."""
+
+    name: str
+    address: str  # host:port
+    zone: str
+    start: int  # Unix time in ms at which the process began
+    bumps: int
+    state: int  # ALIVE, SUSPECT, DEAD or LEFT
+
+    @property
+    def order(self) -> tuple[int, int, int]:
+        """News with a greater one wins."""
+        return self.start, self.bumps, self.state
+
+
+ALIVE, SUSPECT, DEAD, LEFT = range(4)
+
+
+class _Message(msgspec.Struct, tag_field="k", omit_defaults=True):
+    pass
+
+
+class Hello(_Message, tag="h", kw_only=True):
+    """The first on a link, from both sides."""
+
+    bank: str
+    me: Entry
+    to: str  # the name that was dialled; empty on the answer
+    version: int = VERSION
+
+
+class Ask(_Message, tag="a", kw_only=True):
+    """Are you there? Answered by `Here` with the same number."""
+
+    number: int
+    news: list[Entry] = []
+
+
+class Here(_Message, tag="y", kw_only=True):
+    number: int
+    news: list[Entry] = []
+
+
+class AskFor(_Message, tag="f", kw_only=True):
+    """Ask another for me, over a link of your own; answered by `Here` if it was there."""
+
+    number: int
+    whom: Entry
+    news: list[Entry] = []
+
+
+class Tell(_Message, tag="n", kw_only=True):
+    """News of members, as soon as it is known."""
+
+    news: list[Entry] = []
+
+
+class Whole(_Message, tag="w", kw_only=True):
+    """All that is known of all members, after a hello; `wanted` asks for the same back."""
+
+    news: list[Entry] = []
+    wanted: bool = False
+
+
+class Hint(_Message, tag="t", kw_only=True):
+    """A hint of the decision module, for its like."""
+
+    body: bytes
+
+
+class Listen(_Message, tag="l", kw_only=True):
+    """Pass the list on to me; I have this version."""
+
+    rev: int
+
+
+class Passed(_Message, tag="p", kw_only=True):
+    """The list, or what changed since a version, as the list service said it to the one who passes it on."""
+
+    rev: int
+    since: int  # -1: the whole list
+    targets: list[bytes]  # entries in discovery's form
+    age: float  # ms since the service last said something to it
+
+
+class Deaf(_Message, tag="d", kw_only=True):
+    """I pass the list on no more: ask another, or the service."""
+
+
+Message = Hello | Ask | Here | AskFor | Tell | Whole | Hint | Listen | Passed | Deaf
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER = msgspec.msgpack.Decoder(Message)
+
+
+def encode(message: Message) -> bytes:
+    """One frame."""
+    body = _ENCODER.encode(message)
+    return HEAD.pack(MARK, VERSION, len(body), crc32(body)) + body
+
+
+class Reader:
+    """Takes bytes of one link as they come; `feed` gives the whole messages among them."""
+
+    __slots__ = ("_rest",)
+
+    def __init__(self) -> None:
+        self._rest = bytearray()
+
+    def feed(self, data: bytes) -> list[Message]:
+        """The messages that are whole now; `FrameError` at what is none of ours."""
+        rest = self._rest
+        rest += data
+        out: list[Message] = []
+        while len(rest) >= HEAD.size:
+            mark, version, length, checksum = HEAD.unpack_from(rest)
+            if mark != MARK:
+                raise FrameError("no frame of a balancer")
+            if abs(version - VERSION) > 1:
+                raise FrameError(f"version {version}, ours is {VERSION}")
+            if length > MOST:
+                raise FrameError(f"a message of {length} bytes, {MOST} is the most")
+            if len(rest) < HEAD.size + length:
+                break
+            body = bytes(rest[HEAD.size:HEAD.size + length])
+            del rest[:HEAD.size + length]
+            if crc32(body) != checksum:
+                raise FrameError("a wrong checksum")
+            try:
+                out.append(_DECODER.decode(body))
+            except (msgspec.MsgspecError, RecursionError) as error:
+                if version == VERSION:
+                    raise FrameError(f"unreadable: {error}") from error
+                continue  # a kind of message that only the other version knows
+        return out
--- a/ospreyline/fleet/pace.py
+++ b/ospreyline/fleet/pace.py
@@ -41,9 +41,14 @@
         self._latest = LATEST * must_ask_in
         self._longest = max(MOST, self.window)
 
-    def begin(self, now: float) -> None:
-        """The process has started."""
-        self.due = now + self._place
+    def begin(self, now: float, later: float = 0.0) -> None:
+        """The process has started; `later`: ms for which it can do without, since others tell it."""
+        self.due = now + (later or self._place)
+
+    def hasten(self, now: float) -> None:
+        """The first call is wanted as if nobody told us."""
+        if self.due < inf and not self.failures:
+            self.due = min(self.due, now + self._place)
 
     def wanted(self, now: float) -> None:
         """The decisions want a watch: nothing is planned anew while one is under way or planned."""
@@ -58,8 +63,9 @@
         """The service has said something on it."""
         self.failures, self._heard = 0, True
 
-    def failed(self, now: float, retry_after: float = 0.0) -> None:
-        """The call failed or its watch ended; `retry_after` in ms, 0 if the service said nothing."""
+    def failed(self, now: float, retry_after: float = 0.0, told: bool = False) -> None:
+        """The call failed or its watch ended; `retry_after` in ms, 0 if the service said nothing; `told`:
+        others tell us the list meanwhile, so that there is less haste."""
         if not self._out:
             return
         self._out = False
@@ -70,5 +76,5 @@
         self.failures += 1
         period = max(self.window, min(self._longest, LEAST * GROW ** min(self.failures - 1, 20)))
         # guards: a service that says an hour must not let the list grow old until it counts as told
-        period = min(max(period, retry_after), max(self._latest, self.window))
+        period = min(max(period, retry_after, self._latest if told else 0.0), max(self._latest, self.window))
         self.due = now + period * (1 + JITTER * self._draw())
--- a/ospreyline/net/service.py
+++ b/ospreyline/net/service.py
@@ -47,11 +47,14 @@
         self._longest = _longest(post)  # s: a visit that was taken under former settings may have that long
         self._rounds = 0
         self._tidying: asyncio.TimerHandle | None = None
+        self._fleet: asyncio.Task[None] | None = None
 
     def start(self) -> None:
         """Listen and serve from now on."""
         self.at = self.clients.listen(self._post.listen)
         self._tidy()
+        if self.turn.bank is not None:
+            self._fleet = self._loop.create_task(self.turn.bank.start())
         self._log.info("serving", name=self._post.name, listen=f"{self.at[0]}:{self.at[1]}",
                        sockets=self._post.sockets)
 
@@ -91,6 +94,8 @@
         """Finish what was taken; new connections are accepted for a while yet, and kept ones used."""
         began = self._loop.time()
         self._log.info("stopping", visits=len(self.turn.visits))
+        if self.turn.bank is not None:
+            self.turn.bank.leave()
         self.turn.closing = True
         await asyncio.sleep(KEEP_ACCEPTING)
         self.clients.stop_listening()
@@ -111,6 +116,8 @@
         if self._tidying is not None:
             self._tidying.cancel()
         self.clients.close()
+        if self.turn.bank is not None:
+            self.turn.bank.close()
         self.turn.close()
 
     def _tidy(self) -> None:
@@ -134,7 +141,7 @@
         self._log.info(
             "counts", open_visits=len(turn.visits), clients=len(self.clients.open),
             connections=len(turn.upstreams.open), lag_ms=round(turn.lag, 1), **figures,
-            **dict(sorted(turn.counts.items())))
+            **dict(sorted(turn.counts.items())), **(turn.bank.counts() if turn.bank is not None else {}))
         turn.counts.clear()
         turn.latencies.clear()
         turn.lag = 0.0
--- a/ospreyline/net/turn.py
+++ b/ospreyline/net/turn.py
@@ -28,6 +28,7 @@
 from ospreyline.net.upstreams import Answer, Cut, Errand, Upstreams, Why, end_of, load_report
 
 if TYPE_CHECKING:
+    from ospreyline.fleet.bank import Bank
     from ospreyline.fleet.kept import Keeping
     from ospreyline.fleet.pace import Pace
     from ospreyline.operator import Operator
@@ -67,6 +68,7 @@
         self.logger: Any = structlog.get_logger()
         self._pace: Pace | None = None  # of calls to the list service, if it is switched on
         self._keeping: Keeping | None = None  # of the list on disk, likewise
+        self.bank: Bank | None = None  # links to the other balancers, likewise
         self.closing = False
         self.visits: dict[int, Taken] = {}
         self._ids: set[bytes] = set()  # of the open ones
@@ -104,7 +106,10 @@
         self.balancer = Balancer(self, post.terms, post.seed, now)
         self.balancer.told_all(now, self._lines(known) if known else [])
         if self._pace is not None:
-            self._pace.begin(now)
+            later = 0.0
+            if self.bank is not None and self.bank.lists is not None and not self.bank.lists.passing:
+                later = self.bank.lists.late(post.terms.must_ask_in)
+            self._pace.begin(now, later)
             self._plan()
         elif not post.terms.ask_for_list:
             self.discovery.watch(True)  # to the decisions it comes by itself: here a watch brings it
@@ -128,6 +133,14 @@
             from ospreyline.fleet.kept import Keeping
 
             self._keeping = Keeping(self._loop, lists.keep, 1e3 * lists.keep_for_s, self.logger)
+        if operator.fleet.bank and self.bank is None:
+            from ospreyline.fleet.bank import Bank
+
+            zone = self._post.zone_names[terms.zone]
+            self.bank = Bank(self._loop, self.logger, self._post.name, zone, operator.fleet, self._post.seed,
+                             listed=lambda news: self.note(self._told_by_others, news),
+                             hinted=lambda body: self.note(self._hinted, body),
+                             hasten=lambda: self.note(self._hasten))
 
     def _set(self, post: Post) -> None:
         self._post = post
@@ -369,16 +382,49 @@
             self._plan()
 
     def _told_nothing(self, now: float, retry_after: float) -> None:
+        told = self.bank is not None and self.bank.told_nothing()
         if self._pace is not None:
-            self._pace.failed(now, retry_after)
+            self._pace.failed(now, retry_after, told)
             self._plan()
         self.balancer.told_nothing(now)
 
+    def _hasten(self, now: float) -> None:
+        """The list is to be asked for as if nobody told us."""
+        if self._pace is not None:
+            self._pace.hasten(now)
+            self._plan()
+
+    def _hinted(self, now: float, body: bytes) -> None:
+        if self._post.terms.may_tell:
+            self.balancer.heard(now, body)
+
+    def _told_by_others(self, now: float, others: Any) -> None:
+        """The list as another balancer has it from the service, newer than ours."""
+        if others.rev <= self.discovery.rev:
+            return
+        text = b'{"rev":%d,"all":%b,"targets":[%b]}' % (
+            others.rev, b"true" if others.whole else b"false", b",".join(others.targets))
+        news = discovery.read(text, self.logger)
+        if news is None:
+            return
+        self.counts["lists_from_others"] += 1
+        self.discovery.rev = news.rev
+        lines = self._lines(news)
+        if news.whole:
+            self.balancer.told_all(now, lines)
+        else:
+            self.balancer.told_changes(now, lines)
+        if self._keeping is not None:
+            self._keeping.told(changed=True)
+
     def _told(self, now: float, news: News) -> None:
         if self._pace is not None:
             self._pace.heard(now)
         if self._keeping is not None:
             self._keeping.told(changed=news.whole or bool(news.targets))
+        if self.bank is not None:
+            self.bank.told(news.rev, news.whole, [
+                (target.uid, target.state == "left", json.encode(target)) for target, _ in news.targets])
         lines = self._lines(news)
         if news.whole:
             self.balancer.told_all(now, lines)
@@ -482,7 +528,8 @@
         self._to_do.append((lambda now: self.upstreams.peers[upstream].drop_idle(), ()))
 
     def tell(self, message: bytes) -> None:
-        pass  # no way between balancers on sockets yet; what is told is only ever a hint
+        if self.bank is not None:  # without links nothing is sent; what is told is only ever a hint
+            self.bank.tell(message)
 
     def watch(self, on: bool) -> None:
         if self._pace is not None:
--- a/ospreyline/operator.py
+++ b/ospreyline/operator.py
@@ -18,6 +18,7 @@
 import msgspec
 from msgspec import Meta
 
+from ospreyline import facts
 from ospreyline.facts import FactError
 
 RELOADED, AT_START = {"sighup": True}, {"sighup": False}
@@ -37,10 +38,34 @@
         "how old a kept list may be at a start"))] = 86_400.0
 
 
+class Fleet(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """`[fleet]`: links to the other balancers of the bank; off without a bank's name."""
+
+    bank: Annotated[str, Meta(extra=AT_START, description=(
+        "name of the bank; only balancers that say the same speak to one another. Empty: no links"))] = ""
+    listen: Annotated[str, Meta(extra=AT_START, description="host:port for links of other balancers")] = ""
+    address: Annotated[str, Meta(extra=AT_START, description=(
+        "host:port under which others reach us; empty: as `listen`"))] = ""
+    peers: Annotated[tuple[str, ...], Meta(extra=AT_START, description=(
+        "others as `name=host:port`; some are enough, the rest is heard from them"))] = ()
+    lists: Annotated[bool, Meta(extra=AT_START, description=(
+        "a few of each zone call the list service first and pass the list on. Only where all are told the "
+        "same addresses of the upstreams; needs list.calls_per_s"))] = False
+    status: Annotated[str, Meta(extra=AT_START, description=(
+        "file in which the state is written every two seconds, for `fleet status`; empty: none"))] = ""
+
+    def named(self) -> Iterator[tuple[str, str]]:
+        """The peers as (name, host:port)."""
+        for peer in self.peers:
+            name, _, at = peer.partition("=")
+            yield name, at
+
+
 class Operator(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
     """The whole file."""
 
     list: Lists = Lists()
+    fleet: Fleet = Fleet()
 
 
 @dataclass(slots=True, frozen=True)
@@ -68,7 +93,7 @@
 def parse(text: str) -> Operator:
     """The file's text, checked; `FactError` that names the key."""
     try:
-        return msgspec.convert(tomllib.loads(text), Operator, strict=False)
+        found = msgspec.convert(tomllib.loads(text), Operator, strict=False)
     except tomllib.TOMLDecodeError as error:
         raise FactError(str(error)) from error
     except msgspec.ValidationError as error:
@@ -79,6 +104,34 @@
             at = f"{where}.{unknown[1]}" if where else unknown[1]
             raise FactError(f"{at}: unknown key" + (f", {near[0]!r}?" if near else "")) from None
         raise FactError(f"{where}: {what}" if where else what) from None
+    for key, problem in _problems(found):
+        raise FactError(f"{key}: {problem}")
+    return found
+
+
+def _problems(o: Operator) -> Iterator[tuple[str, str]]:
+    """What the types do not say."""
+    fleet = o.fleet
+    if not fleet.bank:
+        for key in ("listen", "address", "peers", "lists", "status"):
+            if getattr(fleet, key):
+                yield "fleet.bank", f"is missing, and fleet.{key} is there"
+        return
+    if facts.address(fleet.listen, lowest_port=0) is None:
+        yield "fleet.listen", f"{fleet.listen!r} is no host:port"
+    if fleet.address and facts.address(fleet.address) is None:
+        yield "fleet.address", f"{fleet.address!r} is no host:port"
+    names: set[str] = set()
+    for i, (name, at) in enumerate(fleet.named()):
+        if not name or facts.address(at) is None:
+            yield f"fleet.peers[{i}]", f"{fleet.peers[i]!r} is no name=host:port"
+        if name in names:
+            yield f"fleet.peers[{i}]", f"{name!r} is there twice"
+        if at in (fleet.listen, fleet.address):
+            yield f"fleet.peers[{i}]", f"{at} is our own address"
+        names.add(name)
+    if fleet.lists and not o.list.calls_per_s:
+        yield "fleet.lists", "needs list.calls_per_s"
 
 
 def load(path: Path | None) -> Operator:
--- a/ospreyline/rig/relays.py
+++ b/ospreyline/rig/relays.py
@@ -259,8 +259,10 @@
 class Link:
     """One link: a listener, where it leads, and how it is broken."""
 
-    def __init__(self, owner: Relays, name: str, listen: str, source: str, reads: bool) -> None:
+    def __init__(self, owner: Relays, name: str, listen: str, source: str, reads: bool,
+                 hub: Hub | None = None) -> None:
         self.owner = owner
+        self.hub = hub  # whose listener it shares
         self.name = name
         self.source = source  # the address that the server sees
         self.target: tuple[str, int] | None = None
@@ -284,6 +286,8 @@
 
     async def stand(self) -> None:
         """Make the listener what the faults that are on ask for."""
+        if self.hub is not None:
+            return
         wanted = ("refuse" if self.refuses or self.target is None else
                   "vanish" if self.vanished else "listen")
         if wanted == self._state:
@@ -324,22 +328,27 @@
             await asyncio.sleep(0)  # the loop closes a listener in its next pass
 
     def _accepted(self) -> asyncio.Protocol:
+        return self.accept().near
+
+    def accept(self) -> Pair:
+        """A new connection through this link."""
         pair = Pair(self)
         self.owner.worker.clock.tick()
         self.row("opened")
-        if self.resets:
+        if self.resets or (self.hub is not None and self.refuses):
             self.owner.worker.loop.call_soon(pair.reset)
         else:
             self.owner.opening.add(task := self.owner.worker.loop.create_task(self._reach(pair)))
             task.add_done_callback(self.owner.opening.discard)
-        return pair.near
+        return pair
 
     async def _reach(self, pair: Pair) -> None:
-        if self.target is None:
+        target = self.hub.target if self.hub is not None else self.target
+        if target is None:
             return pair.reset()
         try:
             await self.owner.worker.loop.create_connection(
-                lambda: pair.far, *self.target, local_addr=(self.source, 0))
+                lambda: pair.far, *target, local_addr=(self.source, 0))
         except OSError:
             pair.reset()
         else:
@@ -382,6 +391,46 @@
         await self.stand()
 
 
+class Hub:
+    """The address at which others reach one balancer: a listener for the links of all who dial it."""
+
+    def __init__(self, owner: Relays, name: str, listen: str, sources: dict[str, str]) -> None:
+        self.owner = owner
+        self.name = name
+        self.target: tuple[str, int] | None = None
+        self.at = (listen, 0)
+        self._sources = sources  # link by the address that is dialled from
+        self._server: asyncio.Server | None = None
+        for source, link in sources.items():
+            owner.links[link] = Link(owner, link, "", source, False, self)
+
+    async def stand(self) -> None:
+        if self._server is None:
+            self._server = await self.owner.worker.loop.create_server(
+                lambda: Knock(self), *self.at, backlog=BACKLOG)
+            self.at = self._server.sockets[0].getsockname()
+
+    def link(self, source: str) -> Link | None:
+        name = self._sources.get(source)
+        return self.owner.links[name] if name else None
+
+
+class Knock(asyncio.Protocol):
+    """A connection to a hub, until it is known whose it is."""
+
+    def __init__(self, hub: Hub) -> None:
+        self._hub = hub
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        link = self._hub.link(transport.get_extra_info("peername")[0])
+        if link is None:
+            transport.close()
+            return
+        pair = link.accept()
+        transport.set_protocol(pair.near)
+        pair.near.connection_made(transport)
+
+
 class Relays:
     """All links of one process."""
 
@@ -392,18 +441,26 @@
         self.links = {
             one["name"]: Link(self, one["name"], one["listen"], one["source"], one["reads"])
             for one in setup["links"]}
+        self.hubs = {one["name"]: Hub(self, one["name"], one["listen"], one["sources"])
+                     for one in setup.get("hubs", ())}
         self._draw = Random(worker.seed)
         self._stopped: dict[int, Link] = {}
 
     async def begin(self) -> None:
         for link in self.links.values():
             await link.stand()
-        self.worker.say("linked", at={name: link.at for name, link in self.links.items()})
+        for hub in self.hubs.values():
+            await hub.stand()
+        self.worker.say("linked", at={name: link.at for name, link in self.links.items() if not link.hub},
+                        hubs={name: hub.at for name, hub in self.hubs.items()})
 
     async def told(self, order: dict[str, Any]) -> None:
         do = order["do"]
         if do == "targets":
             for name, at in order["at"].items():
+                if name in self.hubs:
+                    self.hubs[name].target = tuple(at) if at else None
+                    continue
                 link = self.links[name]
                 link.target = tuple(at) if at else None
                 await link.stand()
--- a/ospreyline/rig/run.py
+++ b/ospreyline/rig/run.py
@@ -166,6 +166,7 @@
         self.scenario = s = scenario
         self.seed = seed
         self.out = out.absolute()
+        self._operated = bool(s.rig.operator) or s.rig.fleet.on
         self._told = told
         self._live = live  # told each half second how it goes: s of the day, counts by zone
         self._streams = Streams(seed)
@@ -194,6 +195,7 @@
         self._served: dict[int, int] = {}  # lines of each log that were read as serving
         self._offsets: dict[int, int] = {}
         self._serving: dict[int, asyncio.Event] = {}
+        self._awaited: dict[int, set[str]] = {}
         self._finished: set[str] = set()
         self._done = asyncio.Event()
         self._ending = False
@@ -247,8 +249,7 @@
         for b in balancers:
             await self.gone(b)
             self._gone[b].clear()
-            self._serving[b] = asyncio.Event()
-            waits.append(self._serving[b].wait())
+            waits.append(self._await(b).wait())
         await self._keeper.order(do="start", processes=[self._process(b) for b in balancers])
         try:
             async with asyncio.timeout(self.scenario.rig.ready_s):
@@ -261,7 +262,7 @@
 
     def _process(self, b: int) -> dict[str, Any]:
         command = [sys.executable, "-m", "ospreyline", "serve", str(self.out / "config" / f"b{b}.json")]
-        if self.scenario.rig.operator:
+        if self._operated:
             command += ["--operator", str(self.out / "config" / f"b{b}.toml")]
         return {"name": f"b{b}", "log": str(self.out / "logs" / f"b{b}.log"), "command": command,
                 "folder": self.scenario.rig.program or str(ROOT)}
@@ -269,7 +270,14 @@
     def _operator(self, b: int) -> str:
         """The operator's file of one balancer."""
         lines = []
-        for table, keys in self.scenario.rig.operator.items():
+        tables = {table: dict(keys) for table, keys in self.scenario.rig.operator.items()}
+        mesh = self.scenario.rig.fleet
+        if mesh.on:
+            peers = [f"b{n}={'{}:{}'.format(*self._links[f'b{n}'])}" for n in range(mesh.seeds) if n != b]
+            tables.setdefault("fleet", {}).update(
+                bank="rig", listen=f"{address(7, b)}:0", address="{}:{}".format(*self._links[f"b{b}"]),
+                peers=peers, lists=mesh.lists, status="{out}/config/{b}.status")
+        for table, keys in tables.items():
             lines.append(f"[{table}]")
             for key, value in keys.items():
                 if isinstance(value, str):
@@ -314,9 +322,30 @@
             part.tell(do="go", number=news["number"])
 
     def _links_to(self, b: int, at: tuple[str, int] | None) -> None:
-        name = f"c>b{b}"
+        for name in (f"c>b{b}", f"b{b}"):
+            if name in self._relay_of:
+                self.script.spawn(self._relay_of[name].order(do="targets", at={name: at}))
+
+    def _await(self, b: int) -> asyncio.Event:
+        """What its log has to say before it counts as up."""
+        self._awaited[b] = {"serving", "fleet listens"} if self.scenario.rig.fleet.on else {"serving"}
+        self._serving[b] = asyncio.Event()
+        return self._serving[b]
+
+    async def _logged(self, b: int, said: dict[str, Any]) -> None:
+        """A line of a balancer's log: where it listens."""
+        event = said.get("event")
+        if event not in self._awaited[b]:
+            return
+        host, _, port = said["listen"].rpartition(":")
+        at, name = (host, int(port)), f"c>b{b}" if event == "serving" else f"b{b}"
+        if event == "serving":
+            self.row("serving", b=b)
         if name in self._relay_of:
-            self.script.spawn(self._relay_of[name].order(do="targets", at={name: at}))
+            await self._relay_of[name].order(do="targets", at={name: at})
+        else:
+            self._links[name] = at
+        self._awaited[b].discard(event)
 
     async def _watch_logs(self) -> None:
         """Whose log has a new line that says it serves?"""
@@ -335,17 +364,9 @@
                 self._offsets[b] = self._offsets.get(b, 0) + len(whole)
                 for line in whole.splitlines():
                     with suppress(msgspec.DecodeError):
-                        said = msgspec.json.decode(line)
-                        if said.get("event") == "serving":
-                            host, _, port = said["listen"].rpartition(":")
-                            name = f"c>b{b}"
-                            self.row("serving", b=b)
-                            if name in self._relay_of:
-                                await self._relay_of[name].order(
-                                    do="targets", at={name: (host, int(port))})
-                            else:
-                                self._links[name] = (host, int(port))
-                            event.set()
+                        await self._logged(b, msgspec.json.decode(line))
+                if not self._awaited[b]:
+                    event.set()
             await asyncio.sleep(0.02)
 
     # the day
@@ -409,8 +430,8 @@
         entries = [self.script.entry(i, 0) for i in range(len(self.groups))]
         if s.rig.relays:
             await self._stand_relays(at)
-            endpoints = {f"b{b}": {str(i): "{}:{}".format(*self._links[f"b{b}>u{i}"]) for i in at}
-                         for b in range(s.bank.count)}
+            endpoints = {f"b{b}": {str(i): "{}:{}".format(*(self._links[f"b{b}>u{i}"] if s.rig.pairs else w))
+                                   for i, w in at.items()} for b in range(s.bank.count)}
         else:
             endpoints = {b: {str(i): "{}:{}".format(*where) for i, where in at.items()}
                          for b in ("", *(f"b{b}" for b in range(s.bank.count)))}
@@ -430,7 +451,7 @@
             told = configuration(s, b, f"{address(1, b)}:0", "{}:{}".format(*asks),
                                  self._streams.number(f"balancer-{b}") % (1 << 53), known)
             (self.out / "config" / f"b{b}.json").write_bytes(_JSON.encode(told))
-            if s.rig.operator:
+            if self._operated:
                 (self.out / "config" / f"b{b}.toml").write_text(self._operator(b))
 
     async def _stand_relays(self, at: dict[int, Any]) -> None:
@@ -447,15 +468,23 @@
         for b in range(s.bank.count):
             add(f"c>b{b}", b % per, address(4, b), "127.6.0.1", clients)
             add(f"b{b}>list", b % per, address(5, b), address(1, b), False)
-            for u in at:
+            for u in at if s.rig.pairs else ():
                 add(f"b{b}>u{u}", b % per, f"127.{64 + b // 200}.{b % 200 + 1}.{u + 1}", address(1, b), True)
+        hubs: list[list[dict[str, Any]]] = [[] for _ in range(per)]
+        for b in range(s.bank.count if s.rig.fleet.on else 0):
+            of[f"b{b}"] = b % per
+            sources = {address(7, a): f"b{a}>b{b}" for a in range(s.bank.count) if a != b}
+            of.update(dict.fromkeys(sources.values(), b % per))
+            hubs[b % per].append({"name": f"b{b}", "listen": address(8, b), "sources": sources})
         found = await asyncio.gather(*(
-            self._part("relays", i, "relays", "linked", links=mine) for i, mine in enumerate(shares)))
+            self._part("relays", i, "relays", "linked", links=mine, hubs=hubs[i])
+            for i, mine in enumerate(shares)))
         self._relays = [part for part, _ in found]
         self._relay_of = {name: self._relays[share] for name, share in of.items()}
         for _, news in found:
-            self._links.update({name: tuple(where) for name, where in news["at"].items()})
-        await self._target({f"b{b}>u{u}": where for b in range(s.bank.count) for u, where in at.items()})
+            self._links.update({name: tuple(where) for name, where in (news["at"] | news["hubs"]).items()})
+        if s.rig.pairs:
+            await self._target({f"b{b}>u{u}": where for b in range(s.bank.count) for u, where in at.items()})
 
     async def _target(self, at: dict[str, Any]) -> None:
         await asyncio.gather(*(
@@ -545,8 +574,7 @@
         waits: list[Awaitable[Any]] = []
         for b in everyone:
             self._gone[b].clear()
-            self._serving[b] = asyncio.Event()
-            waits.append(self._serving[b].wait())
+            waits.append(self._await(b).wait())
         await self._keeper.order(do="start", processes=[self._process(b) for b in everyone])
         await self.tell_clients(do="starting", balancers=everyone)
         try:
--- a/ospreyline/rig/scenario.py
+++ b/ospreyline/rig/scenario.py
@@ -22,11 +22,21 @@
 MOST_BALANCERS, MOST_UPSTREAMS, MOST_SECONDS, MOST_RATE = 400, 120, 600.0, 4_000.0
 
 
+class Mesh(Part):
+    """Links between the balancers, by the operator's file."""
+
+    on: bool = False
+    seeds: int = 3  # balancers that all others are told of; the rest they hear from one another
+    lists: bool = False  # a few pass the list on; wants rig.pairs off: all are told the same addresses
+
+
 class Rig(Part):
     """How the processes are started, and what the list service can do."""
 
     start: Literal["warm", "at once"] = "warm"  # warm: the day begins when all are ready
     known: Literal["all", "none"] = "all"  # the list that a balancer starts with
+    fleet: Mesh = msgspec.field(default_factory=Mesh)
+    pairs: bool = True  # a relay between each balancer and each upstream; off: all share the upstreams' own
     relays: bool = True  # without: processes are linked directly, to see what relays cost
     relay_processes: int = 2
     client_processes: int = 1
@@ -149,8 +159,10 @@
 def links(s: Scenario) -> list[str]:
     """The names of all links: clients to balancers, balancers to upstreams and to the list service."""
     balancers, upstreams = range(s.bank.count), range(s.upstreams())
-    return [*(f"c>b{b}" for b in balancers), *(f"b{b}>u{u}" for b in balancers for u in upstreams),
-            *(f"b{b}>list" for b in balancers)]
+    between = balancers if s.rig.fleet.on else range(0)
+    return [*(f"c>b{b}" for b in balancers), *(f"b{b}>list" for b in balancers),
+            *(f"b{b}>u{u}" for b in balancers for u in (upstreams if s.rig.pairs else ())),
+            *(f"b{a}>b{b}" for a in between for b in between if a != b)]
 
 
 def _problems(s: Scenario) -> Iterator[tuple[str, str]]:
@@ -163,6 +175,10 @@
     for key in ("relay_processes", "client_processes", "upstream_processes"):
         if not 1 <= getattr(s.rig, key) <= 16:
             yield f"rig.{key}", f"{getattr(s.rig, key)} is not between 1 and 16"
+    if s.rig.fleet.on and not s.rig.relays:
+        yield "rig.fleet.on", "links between balancers need relays (rig.relays)"
+    if s.rig.fleet.lists and (s.rig.pairs or not s.rig.fleet.on):
+        yield "rig.fleet.lists", "needs rig.fleet.on, and rig.pairs off so that addresses are the same"
     if s.rig.program and not (Path(s.rig.program) / "ospreyline" / "__main__.py").is_file():
         yield "rig.program", f"{s.rig.program!r} holds no ospreyline/__main__.py"
     names: list[str] | None = None
@@ -173,8 +189,8 @@
                 yield f"{at}.kind", f"{fault.kind!r} needs relays (rig.relays)"
             if not fault.link:
                 yield f"{at}.link", f"{fault.kind!r} needs links, such as 'b0>u*'"
-        if fault.kind in ("cut", "vanish", "zone-loss") and not s.rig.relays:
-            yield f"{at}.kind", f"{fault.kind!r} needs relays (rig.relays)"
+        if fault.kind in ("cut", "vanish") and not (s.rig.relays and s.rig.pairs):
+            yield f"{at}.kind", f"{fault.kind!r} needs relays of pairs (rig.relays, rig.pairs)"
         for key, pattern in (("link", fault.link), ("on.link", fault.on.link if fault.on else "")):
             names = names if names is not None else links(s)
             if pattern and not any(fnmatchcase(name, pattern) for name in names):
