What waited in sockets while a balancer was stopped is no longer sent on for clients that have gone

Cause, found by the rig's referee: a balancer that was stopped (SIGSTOP) and went on took requests that had waited in its sockets as new, counted X-Expires-In from then, and sent them on up to seconds after their clients had given up (tests/test_rig_runs.py: stop between the last byte of a mutating request and its answer; drains). turn.py now notices that no turn came for 0.6 s (three beats), counts that time as waited for what is read in the next 0.1 s, and upstreams.py writes nothing on a connection that shows after its fetch's time-out.

--- a/ospreyline/net/turn.py
+++ b/ospreyline/net/turn.py
@@ -34,6 +34,8 @@
     from ospreyline.operator import Operator
 
 BACKSTOP = 15.0  # ms past its client timeout at which a visit that has no answer yet is answered anyhow
+STOOD = 600.0  # ms without a turn that mean that this process was stopped: three times the decisions' beat
+SETTLED = 100.0  # ms after which what waited in sockets meanwhile has been read
 FORGET = 60_000.0  # ms after which one that the list took away is forgotten
 PROBE_TIME_OUTS = 2.0  # a probe may take this many times as long as connecting may
 _READINESS = {"active": Readiness.READY, "leaving": Readiness.DRAINING, "left": Readiness.GONE}
@@ -82,6 +84,8 @@
         self._to_do: list[tuple[Callable[..., None], tuple[Any, ...]]] = []
         self._wakes: list[tuple[float, int, Callable[[float], None]]] = []
         self._wake_number = 0
+        self._turned = inf  # the last turn; the decisions' periodic work brings one every 200 ms
+        self._stood_from = self._stood_to = -inf  # until then, what comes may have waited since then
         self._alarm: asyncio.TimerHandle | None = None
         self._alarm_at = 0.0
         self._scheduled = False
@@ -187,6 +191,10 @@
     def _turn(self) -> None:
         self._scheduled = False
         now = clock()
+        if now - self._turned > STOOD:
+            self._stood_from, self._stood_to = self._turned, now + SETTLED
+            self.logger.warning("this process stood still", ms=round(now - self._turned))
+        self._turned = now
         noted, self._noted = self._noted, []
         for call, args in noted:
             self._tell(now, call, args)
@@ -265,6 +273,10 @@
         left = terms.client_timeout
         if request.time_left is not None:
             left = min(left, request.time_left)
+        if now <= self._stood_to:
+            # guards: a request that waited in its socket while this process was stopped would be sent on for
+            # a client that has gone; when it came cannot be told, so all of that time counts as waited
+            left -= now - self._stood_from
         taken.late = self._loop.call_later(max(0.0, left + BACKSTOP) / 1e3, self.note, self._overdue, taken)
         taken.handle = self.balancer.take(now, taken.tag, request.prefix, left, request.repeat)
         self._settle(taken)
--- a/ospreyline/net/upstreams.py
+++ b/ospreyline/net/upstreams.py
@@ -346,6 +346,9 @@
             errand.opening = None
             if conn.transport is None or conn.transport.is_closing():
                 errand.cut(Why.BROKEN)
+            elif pool.clock() >= errand.expires:
+                # guards: after this process stood still its connection shows before its time-out does
+                errand.cut(Why.NO_CONNECTION)
             elif errand.done is not None:
                 conn.start(errand, pool.clock())
         finally:
--- a/tests/test_rig_runs.py
+++ b/tests/test_rig_runs.py
@@ -33,7 +33,8 @@
         "registry": {"mode": "ask", "calls_per_s": 250.0, "notice_ms": [100.0, 200.0],
                      "silent_ms": [500.0, 800.0], "period_ms": 50.0},
         "load": {"rate": 80.0}, "clients": {"retries": 2, "patience": 0.7},
-        "prefixes": [READ, CHANGE], "rules": {"overload_factor": 4.0, "slack_ms": 150.0}, **more,
+        "prefixes": [READ, CHANGE], "rules": {"overload_factor": 4.0, "slack_ms": 150.0},
+        "goal": {"cross_fee": 0.2}, **more,
         # one of each: what a fault waits for is counted over all links
         "rig": {"relay_processes": 1, "upstream_processes": 1, **more.get("rig", {})}}
 
@@ -193,8 +194,8 @@
     assert text.count(rule) == 1
     path.write_text(text.replace(rule, "if False and (ran := visit.may_have_run()) is not None:"))
     day = Played(tmp_path / "out", rig={"program": str(tmp_path / "broken")}, faults=[
-        {"kind": "reset", "link": "b0>u*", "for_s": 0.1,
-         "on": {"link": "b0>u*", "prefix": "change", "nth": 3}}])
+        {"kind": "reset", "link": "b0>u0", "for_s": 0.1,
+         "on": {"link": "b0>u0", "prefix": "change", "nth": 3}}])
     assert day.figures["breaches"]["twice"] >= 1, day.said
 
 
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -22,6 +22,7 @@
 from ospreyline.__main__ import main
 from ospreyline.net import discovery
 from ospreyline.net import service as service_module
+from ospreyline.net import turn as turn_module
 from ospreyline.net.turn import FORGET, clock
 
 
@@ -420,3 +421,25 @@
     told = configuration([])
     post = facts.post(json.dumps(told).encode(), {"PROXY_LISTEN": "127.0.0.2:80", "PROXY_NAME": "n7"})
     assert post.listen == ("127.0.0.2", 80) and post.name == "n7" and post.seed == 0x8C1F
+
+
+@pytest.mark.parametrize(("stood", "after", "sent"), [
+    (900.0, 0.0, False), (900.0, 300.0, True), (300.0, 0.0, True)])
+def test_what_waited_while_the_process_stood_still_is_not_sent_for_a_client_that_has_gone(
+        stood, after, sent, monkeypatch):
+    # met on the rig: a process that was stopped went on with requests whose clients had long given up
+    async def story():
+        peer = Peer()
+        async with running(peer) as service:
+            turn, at = service.turn, [turn_module.clock()]
+            monkeypatch.setattr(turn_module, "clock", lambda: at[0])
+            for passed in (0.0, stood):
+                at[0] += passed
+                turn._turn()
+            at[0] += after
+            client = await caller(service)
+            status, _, _ = await client.ask(request("/change/x", "POST", b"{}", X_Expires_In="0.7"))
+            assert (status == 200) is sent and bool(peer.requests) is sent
+            assert status in (200, 503)  # it never ran, and the client is told so
+
+    asyncio.run(story())
