Lists from few to many on real processes; a starved process owes no answer; cold start measured

Cause of an empty list that went round on the rig: one that was told by another and then passed on kept no entries of its own, and its own watch brings changes alone (lists.py). The rig's keeper blocked while it started a hundred processes, which made every run void; what is judged runs at a lower priority now, and the kernel's accounts say who was given no core.

--- a/ospreyline/fleet/bank.py
+++ b/ospreyline/fleet/bank.py
@@ -49,6 +49,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self._hears = (1, 1)
         self._alone = False  # nobody tells us the list
+        self._said_at = self._now() + 1e3
         self._status_at = 0.0
         self._writing: asyncio.Future[None] | None = None
         if self.lists is not None:
@@ -75,10 +76,11 @@
         now = self._now()
         self.members.tick(now)
         if self.lists is not None and not self.members.superseded:
+            before = self.lists.passing or self._alone
             self.lists.tick(now)
-            if not self._alone and self.lists.unheard(now):
-                self._hasten()
             self._alone = self.lists.unheard(now)
+            if (self.lists.passing or self._alone) and not before:
+                self._hasten()
         self._carry_out()
         self.links.tidy(set(self.members.neighbours) | set(self.lists.sources if self.lists else ()), IDLE)
         if self._on.status and now >= self._status_at:
@@ -99,21 +101,19 @@
                 self._log.info("member", peer=entry.name, state=State[entry.state], zone=entry.zone)
         if news:
             self._roles()
-            hears = self.members.hears()
-            if hears != self._hears:
-                self._hears = hears
-                self._log.info("fleet", hears=hears[0], of=hears[1], words=words(*hears))
+        hears = self.members.hears()
+        if hears != self._hears and self._now() >= self._said_at:
+            # guards: a bank that starts changes it with each member
+            self._hears, self._said_at = hears, self._now() + 1e3 * STATUS
+            self._log.info("fleet", hears=hears[0], of=hears[1], words=words(*hears))
 
     def _roles(self) -> None:
         if self.lists is None:
             return
-        before = self.lists.passing
         living = [(n, m.entry.zone) for n, m in self.members.members.items() if m.entry.state < DEAD]
         unmet = [(n, self.lists.zone) for n, _ in self._on.named()
                  if n not in self.members.members and n != self.lists.name]
         self.lists.members(self._now(), [*living, *unmet])
-        if self.lists.passing and not before:
-            self._hasten()
 
     # links
 
@@ -150,6 +150,11 @@
 
     # what the front tells
 
+    def begin(self, rev: int, targets: list[tuple[str, bool, bytes]]) -> None:
+        """The list that this process starts with, as (id, whether it has left, its bytes)."""
+        if self.lists is not None:
+            self.lists.begin(rev, targets)
+
     def tell(self, body: bytes) -> None:
         """A hint of the decisions, to all that are linked."""
         for name in sorted(self.members.linked):
--- a/ospreyline/fleet/lists.py
+++ b/ospreyline/fleet/lists.py
@@ -14,12 +14,15 @@
 from hashlib import blake2b
 from math import inf
 
+import msgspec
+
 from ospreyline.fleet.frames import Deaf, Listen, Message, Passed
 
 PASSERS = 2  # of a zone
 SOURCES = 2  # that one listens to
 BEAT = 500.0  # ms between two words of one that passes on, if there is no news
 FRESH = 2_500.0  # ms for which a service that spoke counts as speaking
+SETTLE = 400.0  # ms for which one has to be among the first before it passes on
 NO_WORD = 1_500.0  # ms from the start without a word of others, after which we call as if there were none
 AGAIN = 1_000.0  # ms until one that did not answer is asked again
 MOST_LISTENERS = 512
@@ -35,6 +38,11 @@
     targets: list[bytes]
 
 
+class _Listed(msgspec.Struct):
+    uid: str
+    state: str = "active"
+
+
 class Lists:
     """The list as one member has it, hears it and passes it on. `out` holds what is to be sent."""
 
@@ -44,10 +52,11 @@
         self.out: list[tuple[str, Message]] = []
         self.rev = 0
         self.passing = False  # we are among those that pass it on
+        self._chosen_at = inf  # ms; since then we are, as far as members are known
         self.sources: list[str] = []  # whom we listen to
         self.taken = self.ignored = 0  # lists from others
         self._draw = draw
-        self._entries: dict[str, bytes] = {}  # by id
+        self._entries: dict[str, bytes] = {}  # by id; all of them as of the version that we have
         self._service_at = -inf  # ms; the service last spoke to us on our own watch
         self._watching = False
         self._listeners: dict[str, int] = {}  # name, version that was sent
@@ -55,6 +64,20 @@
         self._heard: dict[str, float] = {}  # sources, and when they last had a fresh word
         self._beat_at = 0.0
 
+    def begin(self, rev: int, targets: list[tuple[str, bool, bytes]]) -> None:
+        """The list that this process starts with; what the service says next may be changes only."""
+        self.rev = rev
+        self._change(True, targets)
+
+    def _change(self, whole: bool, targets: Iterable[tuple[str, bool, bytes]]) -> None:
+        if whole:
+            self._entries.clear()
+        for uid, left, body in targets:
+            if left:
+                self._entries.pop(uid, None)
+            else:
+                self._entries[uid] = body
+
     def late(self, must_ask_in: float) -> float:
         """ms from a start after which one that does not pass on opens its own watch."""
         low, high = LATE
@@ -74,7 +97,7 @@
         """Who lives, as (name, zone), without ourselves: roles follow from that alone, the same for all."""
         others = sorted(living)
         mine = sorted([n for n, z in others if z == self.zone] + [self.name], key=_place)
-        self.passing = self.name in mine[:PASSERS]
+        self._chosen_at = min(self._chosen_at, now) if self.name in mine[:PASSERS] else inf
         first = [n for n in mine[:PASSERS] if n != self.name]
         zones = sorted({z for _, z in others} - {self.zone})
         for zone in zones:
@@ -89,6 +112,8 @@
 
     def tick(self, now: float) -> None:
         """Ask those that we listen to; speak to those that listen to us."""
+        # guards: while members are met, each would count itself among the first for a moment
+        self.passing = now - max(self._chosen_at, self._begun) > SETTLE
         for name in self.sources:
             if now - self._heard.get(name, -inf) > FRESH and now - self._asked.get(name, -inf) > AGAIN:
                 self._asked[name] = now
@@ -109,13 +134,7 @@
         """The service has said something: entries as (id, whether it has left, its bytes)."""
         since = -1 if whole else self.rev
         self._watching, self._service_at = True, now
-        if whole:
-            self._entries.clear()
-        for uid, left, body in targets:
-            if left and not whole:
-                self._entries.pop(uid, None)
-            else:
-                self._entries[uid] = body
+        self._change(whole, targets)
         self.rev = rev
         if not targets and not whole:
             return
@@ -173,6 +192,14 @@
             self._asked[name] = now
             self.out.append((name, Listen(rev=self.rev)))  # something is missing between: all of it, please
             return None
+        try:
+            read = [(e.uid, e.state == "left", body) for body in message.targets
+                    for e in (msgspec.json.decode(body, type=_Listed),)]
+        except msgspec.MsgspecError:
+            self.ignored += 1
+            return None
+        # guards: one that passes on later has to have all of it, though its own watch brings changes alone
+        self._change(whole, read)
         self.taken += 1
         self.rev = message.rev
         return News(message.rev, whole, message.targets)
--- a/ospreyline/net/turn.py
+++ b/ospreyline/net/turn.py
@@ -109,6 +109,8 @@
         now = clock()
         self.balancer = Balancer(self, post.terms, post.seed, now)
         self.balancer.told_all(now, self._lines(known) if known else [])
+        if self.bank is not None and known is not None:
+            self.bank.begin(known.rev, [(t.uid, t.state == "left", json.encode(t)) for t, _ in known.targets])
         if self._pace is not None:
             later = 0.0
             if self.bank is not None and self.bank.lists is not None and not self.bank.lists.passing:
--- a/ospreyline/rig/keeper.py
+++ b/ospreyline/rig/keeper.py
@@ -15,6 +15,9 @@
 
 from ospreyline.rig.worker import Worker
 
+NICE = 5  # of what is judged: the rig's own lateness must not be taken for theirs
+STARVED = 30.0  # ms in LOOK that a process was ready to run and did not, which is told
+LOOK = 100.0  # ms
 SIGNALS = {"stop": signal.SIGSTOP, "go on": signal.SIGCONT, "term": signal.SIGTERM, "kill": signal.SIGKILL,
            "hup": signal.SIGHUP}
 
@@ -24,11 +27,26 @@
         self.worker = worker
         self._procs: dict[str, subprocess.Popen[bytes]] = {}
         self._wanted: set[str] = set()  # whose end was ordered
+        self._waited: dict[str, float] = {}  # ms for which each was ready to run and did not
 
     async def begin(self) -> None:
         self.worker.clock.after(20.0, self._look)
+        self.worker.clock.after(LOOK, self._look_for_starved)
         self.worker.say("keeping")
 
+    def _look_for_starved(self) -> None:
+        """Who was ready to run and was given no core, by the kernel's own accounts?"""
+        self.worker.clock.after(LOOK, self._look_for_starved)
+        for name, proc in self._procs.items():
+            try:
+                with open(f"/proc/{proc.pid}/schedstat", "rb") as file:
+                    waited = int(file.read().split()[1]) / 1e6
+            except (OSError, IndexError, ValueError):
+                continue  # a kernel without these accounts tells nothing
+            before, self._waited[name] = self._waited.get(name, waited), waited
+            if waited - before > STARVED:
+                self.worker.row("starved", name=name, ms=round(waited - before, 1))
+
     def _look(self) -> None:
         """Who has ended?"""
         self.worker.clock.after(20.0, self._look)
@@ -44,10 +62,14 @@
         do = order["do"]
         if do == "start":
             for one in order["processes"]:
+                await asyncio.sleep(0)  # a hundred of them take a while
                 with open(one["log"], "ab") as log:
                     self._procs[one["name"]] = subprocess.Popen(
                         one["command"], stdin=subprocess.DEVNULL, stdout=log, stderr=log,
                         cwd=one["folder"], process_group=0)
+                self._waited.pop(one["name"], None)
+                with suppress(OSError):
+                    os.setpriority(os.PRIO_PROCESS, self._procs[one["name"]].pid, NICE)
                 self.worker.row("spawned", name=one["name"], pid=self._procs[one["name"]].pid)
             pids = {one["name"]: self._procs[one["name"]].pid for one in order["processes"]}
             self.worker.say("spawned", pids=pids)
--- a/ospreyline/rig/referee.py
+++ b/ospreyline/rig/referee.py
@@ -13,7 +13,8 @@
 - cold: what arrives at a starting upstream within the window is at most the factor times what it can do then.
 - crash: no process ends that was not told to, and none that was told to stop ends with an error.
 
-A balancer that is stopped, or not there, owes nothing meanwhile; what is told to it counts from its going on.
+A balancer that is stopped, not there, or given no core by the machine (by the kernel's accounts) owes no
+answer meanwhile; what is told to one that is stopped counts from its going on.
 """
 
 from __future__ import annotations
@@ -99,6 +100,7 @@
     def judge(self, rows: Iterable[Row]) -> list[Breach]:
         """All breaches of a run."""
         rows = sorted(rows, key=lambda row: float(row["t"]))
+        self._starved: dict[str, list[float]] = {}  # by process: when the machine gave it no core
         self._absent, self._links = self._gone(rows), self._broken(rows)
         fetches = self._fetches(rows)
         self._tries(rows, fetches)
@@ -114,6 +116,10 @@
         """By process: when it was stopped or not there."""
         gone: dict[str, Spans] = {}
         for row in rows:
+            if row["k"] == "starved":
+                # told 100 ms after it began, and what was late then may still be late a moment after
+                self._starved.setdefault(row["name"], []).append(row["t"])
+                continue
             if row["k"] not in ("spawned", "ended", "signal"):
                 continue
             spans, at = gone.setdefault(row["name"], Spans()), row["t"]
@@ -149,6 +155,9 @@
     def _excused(self, balancer: int, a: float, b: float) -> bool:
         """Whether the balancer, or its clients' link to it, was not there at some moment."""
         absent, link = self._absent.get(f"b{balancer}"), self._links.get(f"c>b{balancer}")
+        starved = self._starved.get(f"b{balancer}", [])
+        if bisect_right(starved, b + 100.0) > bisect_right(starved, a - 100.0):
+            return True
         return bool(absent and absent.touches(a, b)) or bool(link and link.touches(a, b))
 
     # lost, twice
--- a/ospreyline/rig/results.py
+++ b/ospreyline/rig/results.py
@@ -50,11 +50,17 @@
     for row in rows:
         if row["k"] == "told" and row["t"] >= since:
             listed.setdefault(row["b"], row["t"])
+    times = sorted(listed.values())
     up: dict[int, float] = {}
     for row in rows:
         if row["k"] == "serving" and row["t"] >= since:
             up.setdefault(row["b"], row["t"])
-    times = sorted(listed.values())
+    ready: dict[int, float] = {}
+    for row in rows:
+        if row["k"] == "ready" and row["t"] >= since:
+            ready[row["b"]] = min(row["t"], ready.get(row["b"], row["t"]))
+    able = sorted(ready.values())
+    waits = sorted(ready[b] - up[b] for b in ready if b in up)
     by: dict[int, list[float]] = {}
     for row in rows:
         if row["k"] == "handshake" and row["t"] >= since:
@@ -68,6 +74,13 @@
         "listed": len(times),
         "half_listed_s": round((times[(len(times) - 1) // 2] - since) / 1e3, 2) if times else None,
         "all_listed_s": round((times[-1] - since) / 1e3, 2) if len(times) >= count else None,
+        # ready: it has a list, from whomever; looked at every 100 ms
+        "half_ready_s": round((able[(len(able) - 1) // 2] - since) / 1e3, 2) if able else None,
+        "all_ready_s": round((able[-1] - since) / 1e3, 2) if len(able) >= count else None,
+        # from its own start to listen until it has a list
+        "list_after_start_s": [round(waits[int(q * (len(waits) - 1))] / 1e3, 2) for q in (0.5, 0.99)]
+        if waits else None,
+        "calls_in_4_s": sum(row["t"] < since + 4_000.0 for row in calls),
         "all_up_s": round((max(up.values()) - since) / 1e3, 2) if len(up) >= count else None,
         "most_handshakes_a_s": max((busiest(at, 1e3) for at in by.values()), default=0),
     }
@@ -135,7 +148,8 @@
         f"crossed {f['crossed']}",
         f"  list: {first['calls_each']} calls a balancer ({first['attempts_each']} connections), "
         f"refused {first['refused']}, longest queue {first['longest_queue']}, "
-        f"busiest 100 ms {first['busiest_100_ms']}",
+        f"busiest 100 ms {first['busiest_100_ms']}; half ready after {first['half_ready_s']} s, "
+        f"all {first['all_ready_s']} s; most handshakes {first['most_handshakes_a_s']} a second",
     ]
     if f.get("resident_mb"):
         lines.append(f"  a balancer: {f['resident_mb']} MB resident (most {f['most_resident_mb']}), "
--- a/tests/test_referee.py
+++ b/tests/test_referee.py
@@ -110,6 +110,7 @@
     [attempt(2_050.0, how="none", status=0), row("signal", 1_500.0, name="b0", what="stop")],
     [attempt(2_050.0, how="none", status=0), row("fault", 1_500.0, on=1, kind="drop", links=["c>b0"])],
     [attempt(1_000.0, sent=0.0, how="unreached", status=0)],
+    [attempt(2_050.0, how="none", status=0), row("starved", 1_600.0, name="b0", ms=80.0)],
     # within the grace; told active again; a restarted one was never told
     [row("told", 500.0, b="b0", rev=2, whole=False, states=[("s-0-1", "leaving")]), *fetch(1_010, end=1_050),
      attempt(1_051.0)],
