--- a/ospreyline/lab/command.py
+++ b/ospreyline/lab/command.py
@@ -292,3 +292,25 @@
     for word in sizes.split(","):
         for paced in (False, True):
             click.echo(opening(int(word), calls_per_s, paced, down, boot, seed=seed).line())
+
+
+@lab.command()
+@click.option("--sizes", default="10,50,100,300", show_default=True, help="Of the bank.")
+@click.option("--loss", default=0.0, show_default=True, help="Share of messages that are lost.")
+@click.option("--seconds", default=60.0, show_default=True, help="At rest, before members are lost.")
+@click.option("--seed", default=1, show_default=True)
+@_told
+def mesh(sizes: str, loss: float, seconds: float, seed: int) -> None:
+    """Membership of a bank: messages at rest, the time until a dead one is known, wrong deaths."""
+    from ospreyline.lab.mesh import measured
+
+    if not all(word.isdigit() and int(word) > 3 for word in sizes.split(",")):
+        raise ScenarioError(f"--sizes: {sizes!r} are no whole numbers over 3")
+    if not 0 <= loss < 1 or not seconds > 0:
+        raise ScenarioError("--loss is a share under 1, --seconds is over 0")
+    click.echo(f"{'bank':>6} {'messages/s':>10} {'bytes/s':>8} {'wrong':>6} {'noticed':>8} {'median s':>9} "
+               f"{'99% s':>7}")
+    for word in sizes.split(","):
+        m = measured(int(word), seed, loss, seconds)
+        click.echo(f"{m['count']:6} {m['messages_s']:10.1f} {m['bytes_s']:8.0f} {m['wrong']:6} "
+                   f"{m['noticed']:8.1%} {m['median_s']:9.2f} {m['p99_s']:7.2f}")
--- a/ospreyline/lab/mesh.py
+++ b/ospreyline/lab/mesh.py
@@ -192,11 +192,14 @@
     wrong = sum(c.state == DEAD for c in mesh.changes)
     lost = [f"n{count - 1 - i}" for i in range(dead)]
     times: list[float] = []
+    noticed = 0
     for name in lost:
         at = mesh.world.now
         mesh.kill(name, silent=True)
         mesh.world.run(at + 12_000.0)
-        times += mesh.deaths(name, at)
+        found = mesh.deaths(name, at)
+        times += found
+        noticed += len(found)
     times.sort()
     return {
         "count": count, "known": known / max(1, pairs),
@@ -204,4 +207,4 @@
         "bytes_s": sum(b[1] - a[1] for a, b in zip(before, after, strict=True)) / count / seconds,
         "wrong": wrong, "median_s": times[len(times) // 2] / 1e3 if times else None,
         "p99_s": times[int(0.99 * (len(times) - 1))] / 1e3 if times else None,
-        "noticed": len(times) / max(1, sum(count - 1 - i for i in range(dead)))}
+        "noticed": noticed / max(1, sum(count - 1 - i for i in range(dead)))}
--- a/ospreyline/rig/command.py
+++ b/ospreyline/rig/command.py
@@ -102,6 +102,18 @@
     sys.exit(1 if any(figures["breaches"].values()) else 0)
 
 
+@rig.command()
+@click.argument("folder", type=FOLDER)
+@_told
+def members(folder: Path) -> None:
+    """What the balancers of a run with links noticed of one another; status 1 at a wrong death."""
+    from ospreyline.rig.fleetlog import report
+
+    found = report(folder)
+    click.echo(", ".join(f"{key.replace('_', ' ')} {value}" for key, value in found.items()))
+    sys.exit(1 if found["wrong_deaths"] else 0)
+
+
 @rig.command()
 @click.option("--seed", default=1, show_default=True)
 @click.option("--out", type=FOLDER, help="Folder for rows, logs and records; else a new temporary one.")
--- a/ospreyline/rig/run.py
+++ b/ospreyline/rig/run.py
@@ -14,7 +14,7 @@
 from collections.abc import Awaitable, Callable, Iterator
 from contextlib import suppress
 from pathlib import Path
-from time import monotonic
+from time import monotonic, time
 from typing import Any
 
 import msgspec
@@ -171,6 +171,7 @@
         self._live = live  # told each half second how it goes: s of the day, counts by zone
         self._streams = Streams(seed)
         self.origin = monotonic() * 1e3
+        (out / "origin.json").write_bytes(_JSON.encode({"unix_ms": time() * 1e3}))
         self.begun = 0.0  # ms; when the day began
         zones = len(s.zones.names)
         self.groups: list[Group] = [g for g in s.servers for _ in range(g.count)]
