--- /dev/null
+++ b/ospreyline/check/guards.py
@@ -0,0 +1,249 @@
+"""Every order, loss and doubling of what an owner, those that take over and three guardians say of one visit.
+
+The code explored is `fleet/guard.py` itself. A step is one message delivered (kept for a second delivery
+while doublings are left; what is never delivered is lost), one thing that a balancer does by itself (ask for
+a permit, write the fetch, refuse, take over), a guardian's restart, or its forgetting. A balancer that is
+stopped or has crashed is one whose steps come late or never: stalls between a check and a write are among
+them. States that differ only by which guardian is which, or in words that nobody waits for, are one.
+
+What must hold in every state:
+
+- effects: the mutating visit is written once at the most, by all together;
+- refusal: once a client was told that it never ran, it never runs, and it had not;
+- truth: who takes over and holds that it never ran is right, and stays right unless it runs it itself.
+"""
+
+from __future__ import annotations
+
+import pickle
+from collections import deque
+from dataclasses import dataclass, field
+from time import perf_counter
+
+from ospreyline.fleet.guard import Guardian, Say, Work
+
+WORK = "v"
+GUARDS = ("g0", "g1", "g2")
+
+
+@dataclass(slots=True)
+class State:
+    """One moment of the small world."""
+
+    guards: list[Guardian]
+    works: dict[str, Work]
+    net: list[Say] = field(default_factory=list)
+    written: list[str] = field(default_factory=list)  # who wrote the fetch, in order
+    refused: list[str] = field(default_factory=list)  # who told its client that it never ran
+    asked: dict[str, int] = field(default_factory=dict)  # permits that each asked for
+    doublings: int = 0
+    restarts: int = 0
+    forgets: int = 0
+
+
+@dataclass(slots=True, frozen=True)
+class Found:
+    """How an exploration ended."""
+
+    states: int
+    seconds: float
+    whole: bool  # all states within the bounds were seen
+    broken: str  # the sentence that does not hold; empty if all do
+    trace: tuple[str, ...]  # the steps that lead there
+
+
+class Explorer:
+    """The small world and its steps; a planted mistake is a subclass, or a patch of the code explored."""
+
+    def __init__(self, takers: int = 1, doublings: int = 0, restarts: int = 0, forgets: int = 0,
+                 may_refuse: bool = True) -> None:
+        self.takers = [f"s{i}" for i in range(takers)]
+        self.bounds = (doublings, restarts, forgets)
+        self.may_refuse = may_refuse
+
+    def begin(self) -> State:
+        guards = [Guardian(name, 1e9, 1) for name in GUARDS]
+        state = State(guards, {}, doublings=self.bounds[0], restarts=self.bounds[1], forgets=self.bounds[2])
+        for guard in guards:
+            for member in ("o", *self.takers):
+                guard.linked(member)
+        state.works["o"] = Work(WORK, "o", GUARDS, self.sessions(state, "o"), b"request")
+        state.works["o"].register()
+        self.said(state, "o")
+        return state
+
+    @staticmethod
+    def sessions(state: State, member: str) -> dict[str, int]:
+        return {guard.name: guard.sessions[member] for guard in state.guards}
+
+    @staticmethod
+    def said(state: State, name: str) -> None:
+        work = state.works[name]
+        state.net += work.out
+        work.out.clear()
+
+    # steps
+
+    def steps(self, state: State) -> list[tuple[str, int | str]]:
+        """What may come next, as (kind, whom); the same order each time."""
+        out: list[tuple[str, int | str]] = []
+        seen: set[Say] = set()
+        for i, say in enumerate(state.net):
+            if say not in seen:
+                seen.add(say)
+                out.append(("deliver", i))
+                if state.doublings:
+                    out.append(("double", i))
+        for name, work in sorted(state.works.items()):
+            if work.mine and not work.lost and work.answer is None:
+                if not work.permitted and not state.asked.get(name) and not work.may_have_run:
+                    out.append(("permit", name))
+                if (self.may_refuse and not work.permitted and not work.may_have_run
+                        and name not in state.refused):
+                    out.append(("refuse", name))
+            if work.permitted and name not in state.written:
+                out.append(("write", name))
+            if work.refused and name not in state.refused:
+                out.append(("tell", name))
+        for name in self.takers:
+            if name not in state.works:
+                out.append(("claim", name))
+        if state.restarts:
+            out += [("restart", i) for i in range(len(GUARDS))]
+        if state.forgets:
+            out += [("forget", i) for i, guard in enumerate(state.guards) if WORK in guard.works]
+        return out
+
+    def step(self, state: State, kind: str, whom: int | str) -> str:
+        """Do one step; in words."""
+        said = self._step(state, kind, whom)
+        state.net = [say for say in state.net if say.to in GUARDS or self.waited(state, say)]
+        return said
+
+    @staticmethod
+    def waited(state: State, say: Say) -> bool:
+        """Whether an answer can still change anything."""
+        work = state.works.get(say.to)
+        if work is None or say.ballot != work.ballot or say.about != work._asked or work.lost:
+            return False
+        if say.about == "register" or (say.about == "claim" and work.mine):
+            return False  # what it tells is told already, or is nobody's to act on
+        return say.by not in (work._yeses if say.what == "yes" else work._noes)
+
+    def _step(self, state: State, kind: str, whom: int | str) -> str:
+        if kind in ("deliver", "double"):
+            assert isinstance(whom, int)
+            say = state.net[whom]
+            if kind == "deliver":
+                del state.net[whom]
+            else:
+                state.doublings -= 1
+            if say.to in GUARDS:
+                guard = state.guards[GUARDS.index(say.to)]
+                answer = guard.heard(0.0, say)
+                state.net.append(answer)
+                return f"{say.by} to {say.to}: {say.what} {say.ballot}, {answer.what}"
+            work = state.works.get(say.to)
+            if work is not None:
+                work.heard(say)
+                self.said(state, say.to)
+            return f"{say.by} to {say.to}: {say.what} to {say.about} {say.ballot}"
+        if kind in ("restart", "forget"):
+            assert isinstance(whom, int)
+            self.anew(state, whom, kind)
+            return f"{GUARDS[whom]} {kind}s"
+        assert isinstance(whom, str)
+        work = state.works.get(whom) or Work(WORK, whom, GUARDS, self.sessions(state, whom))
+        if kind == "claim":
+            state.works[whom] = work
+            work.claim((self.takers.index(whom), "o"))
+        elif kind == "permit":
+            state.asked[whom] = 1
+            work.permit()
+        elif kind == "refuse":
+            work.refuse()
+            state.refused += [whom] if work.refused else []
+        elif kind == "write":
+            state.written.append(whom)
+        elif kind == "tell":
+            state.refused.append(whom)
+        self.said(state, whom)
+        return f"{whom}: {kind}"
+
+    def anew(self, state: State, place: int, kind: str) -> None:
+        """A guardian without its records: restarted, or after it has forgotten. Either way with new links."""
+        old = state.guards[place]
+        guard = state.guards[place] = Guardian(old.name, old.keep_for, 2)
+        for member in ("o", *self.takers):
+            guard.linked(member)
+        if kind == "restart":
+            state.restarts -= 1
+        else:
+            state.forgets -= 1
+
+    # what must hold
+
+    def broken(self, state: State) -> str:
+        if len(state.written) > 1:
+            return f"effects: written by {state.written}"
+        if state.refused and state.written:
+            return f"refusal: {state.refused} told that it never ran, written by {state.written}"
+        for name, work in state.works.items():
+            if name != "o" and work.outcome() == "never ran" and any(w != name for w in state.written):
+                return f"truth: {name} holds that it never ran, written by {state.written}"
+        return ""
+
+    def explore(self, most: int = 2_000_000) -> Found:
+        """All states that can be reached, breadth first: a breach comes with the fewest steps."""
+        begun = perf_counter()
+        first = self.begin()
+        blob = pickle.dumps(first)
+        seen = {self.key(first)}
+        came: dict[bytes, tuple[bytes, str]] = {}
+        queue: deque[bytes] = deque([blob])
+        while queue:
+            at = queue.popleft()
+            for kind, whom in self.steps(pickle.loads(at)):
+                state: State = pickle.loads(at)
+                said = self.step(state, kind, whom)
+                key = self.key(state)
+                if key in seen:
+                    continue
+                seen.add(key)
+                blob = pickle.dumps(state)
+                came[blob] = (at, said)
+                if why := self.broken(state):
+                    trace = [said]
+                    while at in came:
+                        at, words = came[at]
+                        trace.append(words)
+                    return Found(len(seen), perf_counter() - begun, False, why, tuple(reversed(trace)))
+                if len(seen) >= most:
+                    return Found(len(seen), perf_counter() - begun, False, "", ())
+                queue.append(blob)
+        return Found(len(seen), perf_counter() - begun, True, "", ())
+
+    @staticmethod
+    def key(state: State) -> int:
+        """The same for states that differ only in what no longer matters, or by which guardian is which."""
+        names = sorted(state.works)
+        each = []
+        for guard in state.guards:
+            kept = guard.works.get(WORK)
+            record = kept and (kept.promised, kept.guards, kept.answer, kept.answered,
+                               tuple(sorted(kept.permits)))
+            wire = sorted(hash((s.what, s.ballot, s.session, s.to if s.to not in GUARDS else "",
+                                s.by if s.by not in GUARDS else "", s.body, s.permits, s.promised, s.about,
+                                bool(s.guards), s.answered))
+                          for s in state.net if guard.name in (s.to, s.by))
+            heard = tuple(
+                (guard.name in state.works[n]._noes,
+                 (y := state.works[n]._yeses.get(guard.name))
+                 and (y.permits, bool(y.guards), y.answered, y.body)) for n in names)
+            held = tuple(state.works[n].sessions.get(guard.name) for n in names)
+            each.append(hash((tuple(sorted(guard.sessions.items())), record, tuple(wire), heard, held)))
+        works = tuple(
+            (n, w.ballot, w.mine, w.lost, w.covered, w.permitted, w.refused, w.may_have_run, w.answer,
+             w._asked, w._closing) for n in names for w in (state.works[n],))
+        return hash((tuple(sorted(each)), works, tuple(state.written), tuple(state.refused),
+                     tuple(sorted(state.asked.items())), state.doublings, state.restarts, state.forgets))
--- a/ospreyline/rig/referee.py
+++ b/ospreyline/rig/referee.py
@@ -30,7 +30,8 @@
 
 RULES = ("lost", "twice", "drain", "cold", "crash")
 TOLD_AT_LAST = 6_000.0  # ms after which news of the list counts as told
-CARRIES = ("drop", "stall", "vanish", "reset", "refuse", "half-close", "cut-at", "slow-link")
+HOLDS = ("drop", "stall", "vanish", "narrow", "slow-link")  # what is sent on such a link may come late
+CARRIES = (*HOLDS, "reset", "refuse", "half-close", "cut-at")
 
 Row = Mapping[str, Any]
 
@@ -101,7 +102,8 @@
         """All breaches of a run."""
         rows = sorted(rows, key=lambda row: float(row["t"]))
         self._starved: dict[str, list[float]] = {}  # by process: when the machine gave it no core
-        self._absent, self._links = self._gone(rows), self._broken(rows)
+        self._absent, self._links = self._gone(rows), self._broken(rows, CARRIES)
+        self._unheard = self._broken(rows, HOLDS)
         fetches = self._fetches(rows)
         self._tries(rows, fetches)
         self._effects(rows)
@@ -115,16 +117,23 @@
     def _gone(self, rows: Sequence[Row]) -> dict[str, Spans]:
         """By process: when it was stopped or not there."""
         gone: dict[str, Spans] = {}
+        starting: set[str] = set()
         for row in rows:
             if row["k"] == "starved":
                 # told 100 ms after it began, and what was late then may still be late a moment after
                 self._starved.setdefault(row["name"], []).append(row["t"])
                 continue
+            if row["k"] == "reached" and row["link"].startswith("c>") and row["link"][2:] in starting:
+                # a process that has been started is there once a connection of a client has reached it
+                starting.discard(row["link"][2:])
+                gone[row["link"][2:]].end(row["t"])
             if row["k"] not in ("spawned", "ended", "signal"):
                 continue
             spans, at = gone.setdefault(row["name"], Spans()), row["t"]
             if row["k"] == "spawned":
-                spans.end(at)
+                starting.add(row["name"])
+                if not self._s.rig.relays:
+                    spans.end(at)
             elif row["k"] == "ended":
                 spans.begin(at)
                 if not row["wanted"]:
@@ -139,11 +148,11 @@
                 spans.end(at)
         return gone
 
-    def _broken(self, rows: Sequence[Row]) -> dict[str, Spans]:
-        """By link: when a fault was on it, and half a second after, until what was held has come."""
+    def _broken(self, rows: Sequence[Row], kinds: Sequence[str]) -> dict[str, Spans]:
+        """By link: when a fault of these kinds was on it, and half a second after, for what was held."""
         broken: dict[str, Spans] = {}
         for row in rows:
-            if row["k"] == "fault" and row["kind"] in CARRIES:
+            if row["k"] == "fault" and row["kind"] in kinds:
                 for name in row["links"]:
                     spans = broken.setdefault(name, Spans())
                     if row["on"] > 0:
@@ -252,7 +261,7 @@
         grace = self._s.rules.drain_grace_ms + self._slack
         sends = sorted((f for fs in fetches.values() for f in fs), key=lambda f: f["first"])
         news = [r for r in rows if r["k"] in ("told", "listed", "spawned")
-                or (r["k"] == "opened" and r["link"].endswith(">list"))]
+                or (r["k"] == "opened" and ">list" in r["link"])]
         asked: dict[str, float] = {}
         place = 0
         leaving: dict[int, float] = {}  # by upstream: when the list began to say so
@@ -290,7 +299,7 @@
             else:
                 leaving.setdefault(index, row["t"])
         else:
-            link = self._links.get(f"{row['b']}>list")
+            link = self._unheard.get(f"{row['b']}>list")
             at = min(link.over_at(row["t"]), row["t"] + TOLD_AT_LAST) if link else row["t"]
             active = {uid_index(uid) for uid, state in row["states"] if state == "active"}
             away = {uid_index(uid) for uid, state in row["states"] if state != "active"} - active
--- a/ospreyline/rig/relays.py
+++ b/ospreyline/rig/relays.py
@@ -82,6 +82,7 @@
         self.passed = [0, 0]  # bytes passed on
         self.ended = [False, False]  # a side closed while that could not be told
         self.eofs = [False, False]  # by way: the end of sending was passed on
+        self.stuck = [False, False]  # by way: a piece was too large for the link
         self.late = [0, 0]  # by way: pieces on a slow link
         self.ender = ""  # how the first side ended it
         self._found: list[tuple[str, str]] = []
@@ -105,7 +106,9 @@
             self._read(way, data)
         else:
             self._ends("gone" if way == TO else "closed")
-        if not link.passes(way) or self.held[way] or not self._there(way):
+        if data is not None and 0 < link.narrow < len(data):
+            self.stuck[way] = True
+        if not link.passes(way) or self.held[way] or not self._there(way) or self.stuck[way]:
             self.held[way].append(data)
             self.waits[way] += len(data or b"")
             if self.waits[way] > MOST_HELD:
@@ -177,6 +180,8 @@
     def flush(self, way: int) -> None:
         """What was held goes on, if the link passes it."""
         held = self.held[way]
+        if self.stuck[way]:
+            return
         while held and self.link.passes(way) and self._there(way):
             data = held.popleft()
             self.waits[way] -= len(data or b"")
@@ -203,7 +208,7 @@
         if self.over:
             return
         self._ends("gone" if way == TO else "broken" if broken else "closed")
-        if not self.link.passes(way) or self.held[way]:
+        if not self.link.passes(way) or self.held[way] or self.stuck[way]:
             self.ended[way] = True
         elif self.link.delay or self.late[way]:
             self.link.owner.worker.clock.after(self.link.delay, self._close)
@@ -270,6 +275,7 @@
         self.pairs: dict[Pair, None] = {}
         self.holds = [0, 0]  # by way: faults that hold it
         self.delay = 0.0
+        self.narrow = 0
         self.cut_at = [0, 0]
         self.resets = self.refuses = self.vanished = 0  # faults that do
         self._state = ""
@@ -372,6 +378,12 @@
                     else:
                         pair.flush(TO)
                         pair.flush(FROM)
+        elif kind == "narrow":
+            self.narrow = int(order["size"]) if on > 0 else 0
+            for pair in list(self.pairs) if on < 0 else ():
+                pair.stuck = [False, False]
+                pair.flush(TO)
+                pair.flush(FROM)
         elif kind == "slow-link":
             self.delay = max(0.0, self.delay + on * order["size"])
         elif kind == "cut-at":
--- a/ospreyline/rig/results.py
+++ b/ospreyline/rig/results.py
@@ -44,7 +44,7 @@
     """The start of a bank of `count`: calls, lists in force, handshakes, counted from a time on."""
     calls = [row for row in rows if row["k"] == "call" and row["t"] >= since]
     served = [row for row in calls if not row["refused"]]
-    spans = [row["t"] for row in rows if row["k"] == "opened" and row["link"].endswith(">list")
+    spans = [row["t"] for row in rows if row["k"] == "opened" and ">list" in row["link"]
              and row["t"] >= since]
     listed: dict[str, float] = {}
     for row in rows:
--- a/ospreyline/rig/run.py
+++ b/ospreyline/rig/run.py
@@ -13,6 +13,7 @@
 import sys
 from collections.abc import Awaitable, Callable, Iterator
 from contextlib import suppress
+from fnmatch import fnmatchcase
 from pathlib import Path
 from time import monotonic, time
 from typing import Any
@@ -22,7 +23,7 @@
 from ospreyline.lab.scenario import Group, middle
 from ospreyline.lab.words import RANGES, ScenarioError, drawn
 from ospreyline.lab.world import Streams
-from ospreyline.rig.scenario import SHARED, Fault, Scenario
+from ospreyline.rig.scenario import MOVED, SHARED, Fault, Scenario
 from ospreyline.rig.script import Script
 
 WAVE = 25  # balancers started together on a warm start
@@ -238,6 +239,15 @@
         if balancers:
             await self._keeper.order(do=what, names=[f"b{b}" for b in balancers])
 
+    def move_list(self, balancer: int) -> None:
+        """Its configuration names another address of the list service from now on; whole, by renaming."""
+        path = self.out / "config" / f"b{balancer}.json"
+        told = msgspec.json.decode(path.read_bytes())
+        told["discovery"] = "{}:{}".format(*self._links[f"b{balancer}>list2"])
+        beside = path.with_suffix(".new")
+        beside.write_bytes(_JSON.encode(told))
+        beside.replace(path)
+
     async def gone(self, balancer: int) -> None:
         await self._gone[balancer].wait()
 
@@ -266,7 +276,8 @@
         if self._operated:
             command += ["--operator", str(self.out / "config" / f"b{b}.toml")]
         return {"name": f"b{b}", "log": str(self.out / "logs" / f"b{b}.log"), "command": command,
-                "folder": self.scenario.rig.program or str(ROOT)}
+                "folder": self.scenario.rig.program if self.scenario.rig.program and fnmatchcase(
+                    f"b{b}", self.scenario.rig.program_for) else str(ROOT)}
 
     def _operator(self, b: int) -> str:
         """The operator's file of one balancer."""
@@ -443,7 +454,7 @@
             period_ms=s.registry.period_ms)
         where = tuple(news["at"])
         if s.rig.relays:
-            await self._target({f"b{b}>list": where for b in range(s.bank.count)})
+            await self._target({name: where for name in self._relay_of if ">list" in name})
         for b in range(s.bank.count):
             listed = [{**e, "endpoint": endpoints[f"b{b}"][str(e["machine"])]} for e in entries]
             known = {"rev": 1 if s.rig.known == "all" else 0, "all": True,
@@ -460,6 +471,7 @@
         per = s.rig.relay_processes
         shares: list[list[dict[str, Any]]] = [[] for _ in range(per)]
         of: dict[str, int] = {}
+        moved = any(f.kind == MOVED for f in self.script.faults)
         clients = any(f.on is not None and f.on.link.startswith("c") for f in self.script.faults)
 
         def add(name: str, share: int, listen: str, source: str, reads: bool) -> None:
@@ -469,6 +481,8 @@
         for b in range(s.bank.count):
             add(f"c>b{b}", b % per, address(4, b), "127.6.0.1", clients)
             add(f"b{b}>list", b % per, address(5, b), address(1, b), False)
+            if moved:
+                add(f"b{b}>list2", b % per, address(9, b), address(1, b), False)
             for u in at if s.rig.pairs else ():
                 add(f"b{b}>u{u}", b % per, f"127.{64 + b // 200}.{b % 200 + 1}.{u + 1}", address(1, b), True)
         hubs: list[list[dict[str, Any]]] = [[] for _ in range(per)]
--- a/ospreyline/rig/scenario.py
+++ b/ospreyline/rig/scenario.py
@@ -47,6 +47,7 @@
     # the operator's file of each balancer, by tables; in texts {b} is its name and {out} the run's folder
     operator: dict[str, dict[str, Any]] = msgspec.field(default_factory=dict)
     program: str = ""  # folder of another checkout, whose balancers are played; empty: this one's
+    program_for: str = "b*"  # the balancers that are played from there
     must_ask_s: float = 10.0  # without a call after which a balancer counts as told of everything
     lag_ms: float = 250.0  # that the rig's own processes may be late before a day is void
 
@@ -78,6 +79,8 @@
 # the laboratory's words that the rig carries out, too
 SHARED = ("slow", "pause", "crash", "zone-loss", "flap", "cut", "errors", "mute", "kill", "restart", "burst",
           "shrink", "roll", "registry-down", "registry-late")
+# part of the balancers is told a new address of the list service (SIGHUP); the old one closes 1.5 s later
+MOVED = "registry-moved"
 # words of links and processes
 OWN = {
     "drop": "what is sent on the links is lost unseen; at the end extra as a share of connections is reset",
@@ -87,6 +90,7 @@
     "refuse": "new connections on the links are refused",
     "half-close": "the sending side of open connections is shut down, once",
     "cut-at": "connections on the links are reset after size bytes that way",
+    "narrow": "what comes in pieces over size bytes is never passed, nor what follows it, until the end",
     "vanish": "as if the machine were gone: open connections fall silent, new ones never come up",
     "stop": "processes are stopped (SIGSTOP) and continued at the end",
     "starve": "processes are stopped for size ms, every extra ms",
@@ -98,9 +102,10 @@
     "registry-back": "the list service tells a list older than the one it told before",
     "registry-swap": "the list names the address of another upstream for part of the upstreams",
 }
-LINK_KINDS = ("drop", "stall", "slow-link", "reset", "refuse", "half-close", "cut-at", "vanish")
-PROCESS_KINDS = ("stop", "starve", "crash-loop", "hup", "kill", "restart")
-FAULTS = {**{kind: words.FAULTS[kind] for kind in SHARED}, **OWN}
+LINK_KINDS = ("drop", "stall", "slow-link", "reset", "refuse", "half-close", "cut-at", "narrow", "vanish")
+PROCESS_KINDS = ("stop", "starve", "crash-loop", "hup", "kill", "restart", MOVED)
+FAULTS = {**{kind: words.FAULTS[kind] for kind in SHARED}, **OWN,
+          MOVED: "balancers get a new address of the list service by SIGHUP; the old one closes after 1.5 s"}
 
 
 def shipped() -> dict[str, str]:
@@ -160,7 +165,9 @@
     """The names of all links: clients to balancers, balancers to upstreams and to the list service."""
     balancers, upstreams = range(s.bank.count), range(s.upstreams())
     between = balancers if s.rig.fleet.on else range(0)
+    moved = balancers if any(fault.kind == MOVED for fault in s.faults) else range(0)
     return [*(f"c>b{b}" for b in balancers), *(f"b{b}>list" for b in balancers),
+            *(f"b{b}>list2" for b in moved),
             *(f"b{b}>u{u}" for b in balancers for u in (upstreams if s.rig.pairs else ())),
             *(f"b{a}>b{b}" for a in between for b in between if a != b)]
 
@@ -189,6 +196,8 @@
                 yield f"{at}.kind", f"{fault.kind!r} needs relays (rig.relays)"
             if not fault.link:
                 yield f"{at}.link", f"{fault.kind!r} needs links, such as 'b0>u*'"
+        if fault.kind == MOVED and not s.rig.relays:
+            yield f"{at}.kind", f"{fault.kind!r} needs relays (rig.relays)"
         if fault.kind in ("cut", "vanish") and not (s.rig.relays and s.rig.pairs):
             yield f"{at}.kind", f"{fault.kind!r} needs relays of pairs (rig.relays, rig.pairs)"
         for key, pattern in (("link", fault.link), ("on.link", fault.on.link if fault.on else "")):
--- a/ospreyline/rig/script.py
+++ b/ospreyline/rig/script.py
@@ -14,7 +14,7 @@
 from time import time
 from typing import Any, Protocol
 
-from ospreyline.rig.scenario import LINK_KINDS, Fault, Scenario, links
+from ospreyline.rig.scenario import LINK_KINDS, MOVED, Fault, Scenario, links
 
 Undo = Callable[[], Awaitable[None]]
 
@@ -34,6 +34,7 @@
     async def start(self, balancers: list[int]) -> None: ...
     async def serving(self, balancer: int) -> None: ...
     async def gone(self, balancer: int) -> None: ...
+    def move_list(self, balancer: int) -> None: ...
 
 
 class Script:
@@ -97,7 +98,7 @@
             act = self._link
         elif fault.kind in ("slow", "pause", "errors", "mute"):
             act = self._upstream
-        elif fault.kind.startswith("registry-"):
+        elif fault.kind.startswith("registry-") and fault.kind != MOVED:
             act = self._registry
         else:
             act = getattr(self, "_" + fault.kind.replace("-", "_"))
@@ -356,6 +357,16 @@
 
         return undo
 
+    async def _registry_moved(self, fault: Fault, entry: dict[str, Any]) -> None:
+        numbers = self._balancers(fault, entry)
+        for number in numbers:
+            self.day.move_list(number)
+        await self.day.signal(numbers, "hup")
+        await asyncio.sleep(1.5)
+        old = [f"b{number}>list" for number in numbers]
+        await self._break(old, fault, 1, kind="refuse")
+        await self._break(old, fault, 1, kind="reset")
+
     async def _hup(self, fault: Fault, entry: dict[str, Any]) -> None:
         await self.day.signal(self._balancers(fault, entry), "hup")
 
--- a/tests/test_fleet_runs.py
+++ b/tests/test_fleet_runs.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import shutil
 from typing import Any
 
 import pytest
@@ -16,6 +17,7 @@
 from ospreyline.fleet import frames, lists
 from ospreyline.fleet.bank import Bank, words
 from ospreyline.fleet.frames import ALIVE, Entry, Hello
+from ospreyline.rig.run import ROOT
 
 BANK = ('[list]\ncalls_per_s = 250\n[fleet]\nbank = "b"\nlisten = "127.0.0.1:0"\nlists = true\n'
         'peers = [{}]\n')
@@ -224,10 +226,12 @@
     assert hears_all(day, *range(6))
 
 
-def test_one_broken_link_kills_nobody(tmp_path):
-    day = Played(tmp_path, seconds=9.0, bank=SIX, rig=MESH, load={"rate": 40.0}, faults=[
-        {"kind": "stall", "link": "b0>b1", "at_s": 1.0, "for_s": 7.0},
-        {"kind": "stall", "link": "b1>b0", "at_s": 1.0, "for_s": 7.0}])
+@pytest.mark.parametrize("fault", [{"kind": "stall"}, {"kind": "narrow", "size": 100.0}, {"kind": "reset"}],
+                         ids=lambda fault: str(fault["kind"]))
+def test_one_broken_link_kills_nobody(fault, tmp_path):
+    day = Played(tmp_path, seconds=8.0, bank=SIX, rig=MESH, load={"rate": 40.0}, faults=[
+        {**fault, "link": "b0>b1", "at_s": 1.0, "for_s": 6.0},
+        {**fault, "link": "b1>b0", "at_s": 1.0, "for_s": 6.0}])
     day.kept()
     assert not any("dead" in got for b in range(6) for got in states(day, b).values())
 
@@ -252,6 +256,33 @@
                    for line in day.log(b)), b
 
 
+def test_a_list_service_that_moves_at_half_of_the_bank_breaks_no_drain(tmp_path):
+    day = Played(tmp_path, seconds=9.0, bank=SIX, load={"rate": 40.0}, faults=[
+        {"kind": "registry-moved", "who": "b[024]", "at_s": 1.5},
+        {"kind": "shrink", "part": 0.5, "zone": "a", "at_s": 2.0, "extra": 4.0}],
+        rig={"fleet": {"on": True, "lists": True}, "pairs": False, "relay_processes": 1,
+             "operator": {"list": {"calls_per_s": 250.0}}})
+    day.kept()
+    for b in range(6):
+        events = [line["event"] for line in day.log(b)]
+        assert ("discovery has moved" in events) is (b in (0, 2, 4))
+        assert any(line["event"] == "upstream" and line["state"] == "draining" for line in day.log(b))
+
+
+def test_a_bank_of_two_versions_speaks(tmp_path):
+    shutil.copytree(ROOT / "ospreyline", tmp_path / "next" / "ospreyline",
+                    ignore=shutil.ignore_patterns("__pycache__"))
+    path = tmp_path / "next" / "ospreyline" / "fleet" / "frames.py"
+    text = path.read_text()
+    assert text.count("VERSION = 1\n") == 1
+    path.write_text(text.replace("VERSION = 1\n", "VERSION = 2\n").replace(
+        "class Deaf(_Message", 'class Later(_Message, tag="later"):\n    pass\n\n\nclass Deaf(_Message'))
+    day = Played(tmp_path / "out", seconds=5.0, bank=SIX, load={"rate": 40.0}, rig={
+        **MESH, "program": str(tmp_path / "next"), "program_for": "b[135]"})
+    day.kept()
+    assert hears_all(day, *range(6))
+
+
 def test_the_state_can_be_read_from_outside(tmp_path):
     day = Played(tmp_path, seconds=5.0, bank=SIX, rig=MESH, load={"rate": 40.0})
     day.kept()
