--- a/ospreyline/__main__.py
+++ b/ospreyline/__main__.py
@@ -50,8 +50,10 @@
 
 
 # name: module and command
-FURTHER = {"lab": ("ospreyline.lab.command", "lab"), "pairs": ("ospreyline.pairs", "command"),
-           "regression": ("ospreyline.regression", "command"), "rig": ("ospreyline.rig.command", "rig")}
+FURTHER = {
+    "explore": ("ospreyline.check.command", "explore"), "lab": ("ospreyline.lab.command", "lab"),
+    "pairs": ("ospreyline.pairs", "command"), "regression": ("ospreyline.regression", "command"),
+    "rig": ("ospreyline.rig.command", "rig")}
 
 
 class Groups(click.Group):
--- /dev/null
+++ b/ospreyline/check/command.py
@@ -0,0 +1,33 @@
+"""`ospreyline explore`: the exhaustive checks on the command line."""
+
+from __future__ import annotations
+
+import sys
+
+import click
+
+
+@click.group()
+def explore() -> None:
+    """Every ordering in the small, of the code that runs in service."""
+
+
+@explore.command()
+@click.option("--takers", type=click.IntRange(1, 2), default=1, show_default=True, help="That take it over.")
+@click.option("--doublings", type=click.IntRange(0, 2), default=0, show_default=True)
+@click.option("--restarts", type=click.IntRange(0, 2), default=0, show_default=True, help="Of guardians.")
+@click.option("--forgets", type=click.IntRange(0, 2), default=0, show_default=True, help="Of guardians.")
+@click.option("--refuse/--no-refuse", default=True, show_default=True, help="Who has it may refuse it.")
+@click.option("--most", default=1_000_000, show_default=True, help="States after which it stops.")
+def guards(takers: int, doublings: int, restarts: int, forgets: int, refuse: bool, most: int) -> None:
+    """What an owner, those that take over and guardians say of one visit; status 1 if a sentence breaks."""
+    from ospreyline.check.guards import Explorer
+
+    found = Explorer(takers, doublings, restarts, forgets, refuse).explore(most)
+    click.echo(f"{found.states} states in {found.seconds:.0f} s, "
+               + ("all that there are" if found.whole else "not all"))
+    if found.broken:
+        click.echo(f"BROKEN: {found.broken}")
+        for number, step in enumerate(found.trace, 1):
+            click.echo(f"  {number:2} {step}")
+    sys.exit(1 if found.broken else 0)
--- a/ospreyline/rig/results.py
+++ b/ospreyline/rig/results.py
@@ -107,7 +107,7 @@
     crossed = sum(int(row["link"][1:].split(">")[0]) % zones != zone[row["link"].split(">")[1]]
                   for row in sends)
     return {
-        "name": s.name, "seed": seed, "balancers": s.bank.count, "upstreams": s.upstreams(),
+        "name": s.name, "seed": seed, "arm": "rig", "balancers": s.bank.count, "upstreams": s.upstreams(),
         "wanted": len(wants), "gain": round(won / asked, 4) if asked else 0.0,
         "in_time": round(outcomes["in time"] / total, 4), "late": round(outcomes["late"] / total, 4),
         "failed": round(outcomes["failed"] / total, 4),
@@ -207,7 +207,14 @@
             held[place][row["u"]] += 1
     for row_of, times in zip(time, delays, strict=True):
         row_of.update(quantiles(times))
-    servers = [{"t": i * window / 1e3, "server": u, "zone": names[zones[u]], "up": True, "warmth": 1.0,
+    away: list[list[tuple[float, float]]] = [[] for _ in range(s.upstreams())]
+    for row in rows:
+        if row["k"] == "died":
+            away[row["u"]].append((row["t"], float("inf")))
+        elif row["k"] == "started" and away[row["u"]]:
+            away[row["u"]][-1] = (away[row["u"]][-1][0], row["t"])
+    servers = [{"t": i * window / 1e3, "server": u, "zone": names[zones[u]], "warmth": 1.0,
+                "up": not any(a < (i + 1) * window and b > i * window for a, b in away[u]),
                 "slow": 1.0, "held": held[i][u], "busy": 0.0, "done": held[i][u], "turned_away": 0}
                for i in range(windows) for u in range(s.upstreams())]
     carried = [{**f, "from": (f["from"] - begun) / 1e3, "to": (f["to"] - begun) / 1e3} for f in faults]
--- a/tests/test_fleet_runs.py
+++ b/tests/test_fleet_runs.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import shutil
+from datetime import datetime
 from typing import Any
 
 import pytest
@@ -180,14 +181,12 @@
 
 
 def said(day: Played, balancer: int, event: str) -> list[dict[str, Any]]:
-    """Lines of a log up to its own stop: after it everybody leaves."""
-    out = []
-    for line in day.log(balancer):
-        if line["event"] == "stopping":
-            break
-        if line["event"] == event:
-            out.append(line)
-    return out
+    """Lines of a log until the day ended, when everybody was told to stop and leaves."""
+    zero = json.loads((day.out / "origin.json").read_text())["unix_ms"]
+    last = max(row["t"] for row in day.of("signal", what="term"))
+    ended = min(row["t"] for row in day.of("signal", what="term") if row["t"] > last - 500.0)
+    return [line for line in day.log(balancer) if line["event"] == event
+            and datetime.fromisoformat(line["timestamp"]).timestamp() * 1e3 < zero + ended]
 
 
 def states(day: Played, balancer: int) -> dict[str, list[str]]:
--- /dev/null
+++ b/tests/test_guards.py
@@ -0,0 +1,173 @@
+"""The core of takeover: its sentences hold in every state of the small world; planted mistakes are found."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+
+from ospreyline.check.guards import GUARDS, WORK, Explorer
+from ospreyline.fleet import guard
+from ospreyline.fleet.guard import NEVER_RAN, Guardian, Say, Work, guardians
+
+
+@pytest.mark.parametrize(("bounds", "most"), [
+    ({"may_refuse": False}, 100_000), ({"restarts": 1, "may_refuse": False}, 10_000),
+    ({"takers": 2, "may_refuse": False}, 10_000), ({"doublings": 1}, 10_000), ({"forgets": 1}, 10_000)])
+def test_the_sentences_hold(bounds, most):
+    # the first is seen whole; the others as far as CI has time, the rest by `ospreyline explore guards`
+    found = Explorer(**bounds).explore(most)
+    assert not found.broken, "\n".join(found.trace)
+    assert found.whole or found.states == most
+
+
+def permit_after_takeover(patch):
+    heard = Guardian.heard
+
+    def wrong(self, now, say):
+        kept = self.works.get(say.work)
+        if say.what == "permit" and kept is not None:
+            kept.promised = min(kept.promised, say.ballot)
+        return heard(self, now, say)
+
+    patch.setattr(Guardian, "heard", wrong)
+
+
+def permits_not_told(patch):
+    yes = Guardian._yes
+    patch.setattr(Guardian, "_yes", lambda self, say, kept: replace(yes(self, say, kept), permits=()))
+
+
+def one_is_enough(patch):
+    patch.setattr(Work, "majority", property(lambda self: 1))
+
+
+def register_brings_back(patch):
+    def wrong(self, now, say, kept):
+        self.works[say.work] = guard.Kept(say.ballot, say.guards, say.body, until=1e9)
+        return self._yes(say, self.works[say.work])
+
+    patch.setattr(Guardian, "_register", wrong)
+
+
+def written_without_permit(patch):
+    permit = Work.permit
+
+    def wrong(self):
+        permit(self)
+        self.permitted = True
+
+    patch.setattr(Work, "permit", wrong)
+
+
+def may_have_run_ignored(patch):
+    claimed = Work._claimed
+
+    def wrong(self):
+        claimed(self)
+        self.may_have_run = False
+
+    patch.setattr(Work, "_claimed", wrong)
+
+
+def refused_before_it_is_recorded(patch):
+    refuse = Work.refuse
+
+    def wrong(self):
+        refuse(self)
+        self.refused = True
+
+    patch.setattr(Work, "refuse", wrong)
+
+
+def sessions_ignored(patch):
+    heard = Guardian.heard
+
+    def wrong(self, now, say):
+        self.sessions[say.by] = say.session
+        return heard(self, now, say)
+
+    patch.setattr(Guardian, "heard", wrong)
+
+
+def forgetful_counts_as_knowing(patch):
+    yes = Guardian._yes
+    patch.setattr(Guardian, "_yes", lambda self, say, kept: replace(yes(self, say, kept), guards=GUARDS))
+
+
+@pytest.mark.parametrize(("mistake", "bounds"), [
+    (permit_after_takeover, {"may_refuse": False}), (permits_not_told, {"may_refuse": False}),
+    (one_is_enough, {"may_refuse": False}), (register_brings_back, {"doublings": 1, "may_refuse": False}),
+    (written_without_permit, {"may_refuse": False}), (may_have_run_ignored, {"may_refuse": False}),
+    (refused_before_it_is_recorded, {}), (sessions_ignored, {"restarts": 1, "may_refuse": False}),
+    (forgetful_counts_as_knowing, {"restarts": 1, "may_refuse": False})],
+    ids=lambda value: value.__name__ if callable(value) else "")
+def test_a_planted_mistake_is_found_with_a_trace(mistake, bounds, monkeypatch):
+    mistake(monkeypatch)
+    found = Explorer(**bounds).explore(150_000)
+    assert found.broken and 2 < len(found.trace) < 25, found
+
+
+def test_guardians_are_the_same_for_all_and_in_other_zones_first():
+    members = [(f"m{i}", "a" if i < 4 else "b") for i in range(8)]
+    found = guardians("visit-1", members, "a")
+    assert found == guardians("visit-1", reversed(members), "a") and len(found) == 3
+    assert all(int(name[1]) >= 4 for name in found)
+    assert guardians("visit-1", members[:4], "a") and len({tuple(guardians(f"v{i}", members, "a"))
+                                                           for i in range(40)}) > 8
+
+
+def word(what: str, work: str = WORK, session: int = 0, body: bytes = b"", round_: int = 0) -> Say:
+    return Say(what, work, (round_, "o"), session, "g0", "o", body, guards=GUARDS)
+
+
+def test_what_a_guardian_keeps_is_bounded_whatever_others_send(monkeypatch):
+    monkeypatch.setattr(guard, "MOST_WORKS", 50)
+    monkeypatch.setattr(guard, "MOST_BYTES", 1_000)
+    one = Guardian("g0", 1_000.0, 1)
+    session = one.linked("o")
+    said = [one.heard(0.0, word("register", f"v{i}", session, b"x" * 30)).what for i in range(100)]
+    assert said.count("yes") == 33 and one.bytes <= 1_000
+    assert all(one.heard(0.0, word("claim", f"c{i}", session, round_=1)).what for i in range(100))
+    assert len(one.works) <= 50
+    one.forget(1_001.0)
+    assert not one.works and one.bytes == 0
+
+
+def test_words_of_a_former_session_are_refused():
+    one = Guardian("g0", 1_000.0, 1)
+    first = one.linked("o")
+    assert one.heard(0.0, word("register", session=first)).what == "yes"
+    second = one.linked("o")
+    assert second != first and one.heard(0.0, word("permit", session=first)).what == "no"
+    assert Guardian("g0", 1_000.0, 2).linked("o") != first
+
+
+def test_one_that_asks_later_is_told_the_kept_answer():
+    guards = [Guardian(name, 1e6, 1) for name in GUARDS]
+    sessions = {g.name: g.linked("o") for g in guards}
+    later = {g.name: g.linked("s") for g in guards}
+
+    def carry(work):
+        out, work.out = work.out, []
+        for say in out:
+            work.heard(guards[GUARDS.index(say.to)].heard(0.0, say))
+
+    owner = Work(WORK, "o", GUARDS, sessions, b"request")
+    for call in (owner.register, owner.permit, lambda: owner.answered(b"the answer")):
+        call()
+        carry(owner)
+    assert owner.permitted
+    other = Work(WORK, "s", GUARDS, later)
+    other.claim((0, "o"))
+    carry(other)
+    assert other.outcome() == "answered" and other.answer == b"the answer"
+    refused = Work("w", "o", GUARDS, sessions, b"request")
+    for call in (refused.register, refused.refuse):
+        call()
+        carry(refused)
+    assert refused.refused
+    asked = Work("w", "s", GUARDS, later)
+    asked.claim((0, "o"))
+    carry(asked)
+    assert asked.outcome() == "never ran" and asked.answer == NEVER_RAN
--- a/tests/test_rig_runs.py
+++ b/tests/test_rig_runs.py
@@ -15,6 +15,7 @@
 
 import pytest
 
+from ospreyline.lab.plot import plot
 from ospreyline.rig import scenario
 from ospreyline.rig.command import played
 from ospreyline.rig.run import ROOT
@@ -79,6 +80,7 @@
     assert day.figures["in_time"] > 0.95 and day.figures["fetches"] > 0.9 * day.figures["wanted"]
     assert {row["name"] for row in day.of("ended", status=0)} == {"b0", "b1", "b2"}
     assert all(len(day.of("arrived", u=u)) > 10 for u in range(4))
+    assert [path.name for path in plot(tmp_path)][-1] == "index.html"
 
 
 @pytest.mark.parametrize("fault", [
