A neighbour that is not heard does not count as heard, whoever doubts itself

Cause of one red story (a third cut off, machine busy): a member that loses most of its neighbours at once doubts itself and accuses nobody for up to eleven seconds, and its figure of how much it hears stood still meanwhile.

--- a/ospreyline/fleet/bank.py
+++ b/ospreyline/fleet/bank.py
@@ -101,9 +101,8 @@
                 self._log.info("member", peer=entry.name, state=State[entry.state], zone=entry.zone)
         if news:
             self._roles()
-        hears = self.members.hears()
-        if hears != self._hears and self._now() >= self._said_at:
-            # guards: a bank that starts changes it with each member
+        # guards: a bank that starts changes it with each member
+        if self._now() >= self._said_at and (hears := self.members.hears()) != self._hears:
             self._hears, self._said_at = hears, self._now() + 1e3 * STATUS
             self._log.info("fleet", hears=hears[0], of=hears[1], words=words(*hears))
 
--- a/ospreyline/fleet/members.py
+++ b/ospreyline/fleet/members.py
@@ -26,6 +26,7 @@
 NEXT, FAR = 3, 3  # neighbours: in the ring, and by chance
 MOST_NEWS = 32  # entries in a message
 FLUSH = 30.0  # ms for which news is gathered before it is passed on
+UNHEARD = 3_000.0  # ms without a word of a neighbour after which it does not count as heard
 KNOCK = 2_000.0  # ms between two tries at somebody who is not there
 FORGET = 120_000.0  # ms after which one that has gone is forgotten
 MOST_MEMBERS = 4_096  # that are kept in mind, whatever others say
@@ -81,7 +82,11 @@
 
     def hears(self) -> tuple[int, int]:
         """How many are heard of as alive, and how many the bank has; both with ourselves."""
-        alive = sum(m.entry.state == ALIVE for m in self.members.values())
+        # guards: one that is cut off doubts itself and accuses nobody, yet it has not heard them
+        since = self._looked - UNHEARD
+        unheard = {n for n in self.neighbours if n in self.members
+                   and max(self.members[n].heard, self.members[n].since) < since}
+        alive = sum(m.entry.state == ALIVE and n not in unheard for n, m in self.members.items())
         bank = sum(m.entry.state != LEFT for m in self.members.values())
         unmet = sum(name not in self.members for name in self._seeds)
         return 1 + alive, 1 + bank + unmet
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -102,6 +102,16 @@
     assert not accused and net.knows() == (20 * 19, 20 * 19)
 
 
+def test_one_that_is_cut_off_from_all_says_that_it_is_alone_while_it_accuses_nobody_yet():
+    net = mesh(6)
+    net.cut = lambda a, b: "n2" in (a, b)
+    net.world.run(net.world.now + 4_500.0)
+    assert net.nodes["n2"].members.hears()[0] == 1 and net.nodes["n2"].members.doubt == members.MOST_DOUBT
+    net.cut = lambda a, b: False
+    net.world.run(net.world.now + 10_000.0)
+    assert all(node.members.hears() == (6, 6) for node in net.nodes.values())
+
+
 @pytest.mark.parametrize("one_way", [False, True])
 def test_a_third_that_was_cut_off_is_found_again(one_way):
     net = mesh(30)
