--- a/ospreyline/rig/run.py
+++ b/ospreyline/rig/run.py
@@ -251,9 +251,6 @@
     async def gone(self, balancer: int) -> None:
         await self._gone[balancer].wait()
 
-    async def serving(self, balancer: int) -> None:
-        await self._serving[balancer].wait()
-
     async def start(self, balancers: list[int]) -> None:
         """Start balancers again; they count as there once they serve."""
         waits = []
