The list: no older one takes back a newer, silent watches are told by whole lines, indents are read

Causes, in net/discovery.py: Discovery.told took a whole list under a lower version from any call (a call that was on its way while a watch told a drain took the drain back); changes under a lower version were dropped and nothing asked anew, though the service may count from the start again; _Call.data_received took any byte for a sign of life; on_body split an indented object at its line feeds, which ended the watch each time anew; the call for the whole list after a move was made once, however it ended; Discovery.watch dropped a live watch before the new one had spoken; connection_made wrote for a call that was dropped, and for the owner's address of that moment.

Change: each call knows what others told since it began; what goes back with nobody having told is a service that counts anew: who takes nothing new is believed at once and the whole list is asked for until it is told, paced by the decisions. A watch lives by whole lines. A watch that is replaced is heard until the new one has spoken.

--- a/ospreyline/net/covering.py
+++ b/ospreyline/net/covering.py
@@ -135,8 +135,8 @@
 
     def goes_on(self, now: float, taken: Taken, kind: Kind) -> bool:
         """Its client has gone: whether it goes on without, since what was sent may be asked for again."""
-        written = any(e is not None and e.done is not None and e.stage > Stage.CONNECTING for e in taken.errands)
-        if kind is not Kind.READ_LIKE and written:
+        out = [e for e in taken.errands if e is not None and e.done is not None]
+        if kind is not Kind.READ_LIKE and any(e.stage > Stage.CONNECTING for e in out):
             return taken.tag in self.takeover.hands
         self.takeover.gave_up(now, taken.tag, sent=any(e is not None for e in taken.errands))
         self._speak()
--- a/ospreyline/net/discovery.py
+++ b/ospreyline/net/discovery.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import re
 from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass
@@ -17,8 +18,10 @@
 
 from ospreyline import facts
 
-QUIET = 3.0  # s without a byte after which a call is dead: an empty line is due every 2 s
+QUIET = 3.0  # s without a whole line after which a watch is dead: an empty one is due every 2 s
+MOST_CALL = 10.0  # s that a call for the whole list may take in all
 MOST_LINE = 8 << 20
+_TEXT = re.compile(rb'"(?:[^"\\]|\\.)*"')  # of JSON; it holds no line's end
 
 
 class _Listing(msgspec.Struct):
@@ -56,6 +59,12 @@
 _TARGET = msgspec.json.Decoder(Target, strict=False)
 
 
+def _open_brackets(line: bytes) -> int:
+    """How many more brackets a line of JSON opens than it closes."""
+    bare = _TEXT.sub(b"", line)
+    return bare.count(b"{") + bare.count(b"[") - bare.count(b"}") - bare.count(b"]")
+
+
 def read(line: bytes, log: Log) -> News | None:
     """One object of the list; None if it cannot be read. A faulty entry is passed over alone."""
     try:
@@ -83,22 +92,35 @@
     def __init__(self, owner: Discovery, watching: bool) -> None:
         self.owner = owner
         self.watching = watching
+        self.at = owner.at
+        self.after = owner.rev
         self.transport: asyncio.Transport | None = None
-        self.heard = owner.loop.time()
-        self.over = False
+        self.since = self.heard = owner.loop.time()
+        self.over = self.spoken = False
+        self.newer = -1  # the latest version that another call has told since this one began
         self.retry_after = 0.0  # ms; as it was told
         self._parser = httptools.HttpResponseParser(self)
         self._rest = bytearray()
+        self._object: list[bytes] = []  # the lines of one that is spread over several, so far
+        self._brackets = self._size = 0  # of those lines: how many are open, bytes
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
-        query = f"?watch=1&after={self.owner.rev}" if self.watching else ""
-        host, port = self.owner.at
+        if self.over:  # guards: dropped while it connected, it would be one more call at the service
+            self.transport.abort()
+            return
+        query = f"?watch=1&after={self.after}" if self.watching else ""
+        host, port = self.at
         self.transport.write(f"GET /registry/instances{query} HTTP/1.1\r\nHost: {host}:{port}\r\n"
                              "Accept: application/json\r\n\r\n".encode())
 
+    def silent(self, now: float) -> bool:
+        """Whether it has told nothing for too long. Of a watch bytes are nothing: half a line may stay so."""
+        return now - self.heard > QUIET or (not self.watching and now - self.since > MOST_CALL)
+
     def data_received(self, data: bytes) -> None:
-        self.heard = self.owner.loop.time()
+        if not self.watching:
+            self.heard = self.owner.loop.time()
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
@@ -121,22 +143,38 @@
             self._rest = rest
             for line in lines:
                 if not self.over:
-                    self._told(bytes(line))
-        if len(self._rest) > MOST_LINE:
+                    self._line(bytes(line))
+        if len(self._rest) + self._size > MOST_LINE:
             self.stop("a line without an end")
 
     def on_message_complete(self) -> None:
         if self._rest.strip() and not self.over:
-            self._told(bytes(self._rest))
+            self._told(b"\n".join([*self._object, bytes(self._rest)]))
         self.stop("" if not self.watching else "the watch has ended")
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.stop(str(exc or "connection closed"))
 
-    def _told(self, line: bytes) -> None:
+    def _line(self, line: bytes) -> None:
+        """A whole line of a watch: an object, a part of an indented one, or nothing."""
         if not line.strip():
-            self.owner.told(self, None)
-        elif (news := read(line, self.owner.log)) is not None:
+            if self._object:
+                self.stop("unreadable line")  # guards: an object that was cut off would swallow what follows
+            else:
+                self.heard = self.owner.loop.time()
+                self.owner.told(self, None)
+            return
+        self._object.append(line)
+        self._size += len(line)
+        self._brackets += _open_brackets(line)
+        if self._brackets <= 0:
+            text = b"\n".join(self._object)
+            self._object, self._brackets, self._size = [], 0, 0
+            self._told(text)
+
+    def _told(self, text: bytes) -> None:
+        if (news := read(text, self.owner.log)) is not None:
+            self.heard = self.owner.loop.time()
             self.owner.told(self, news)
         else:
             # guards: a lost change would be news never told; asking again brings it
@@ -165,16 +203,18 @@
         self._tell_failed = tell_failed
         self._calls: dict[_Call, asyncio.Task[None]] = {}
         self._watch: _Call | None = None
-        self._former: _Call | None = None  # the watch at the address before, until the new one has spoken
+        self._replaced: _Call | None = None  # the watch before, heard until the new one has spoken
+        self._former: _Call | None = None  # the watch at the address before, likewise
         self._moved = False  # and it has not yet
+        self._whole_due = False  # what is known is by another count: who is gone need not be told
 
     def move(self, at: tuple[str, int]) -> None:
         """Discovery is elsewhere now. Nothing that is told meanwhile may be lost."""
-        former = self._former or self._watch
+        former = self._former or self._replaced or self._watch
         for call in [c for c in self._calls if c is not former]:
             self._drop(call)
-        self.at, self._former, self._watch = at, former, None
-        self._moved = True
+        self.at, self._former, self._watch, self._replaced = at, former, None, None
+        self._moved = self._whole_due = True
         self.rev = 0  # guards: the new service may count otherwise, so it is asked for all that it has
         self.watch(True)
 
@@ -185,10 +225,15 @@
     def watch(self, on: bool) -> None:
         """Watch the list from now on, by a new call, or no longer."""
         old, self._watch = self._watch, None
-        if old is not None:
+        if old is not None and on and old.spoken and self._replaced is None:
+            self._replaced = old  # guards: until the new one has spoken nobody else tells what changes
+        elif old is not None:
             self._drop(old)
         if on:
             self._watch = self._start(watching=True)
+        elif self._replaced is not None:
+            self._drop(self._replaced)
+            self._replaced = None
 
     def refresh(self) -> None:
         self._start(watching=False)
@@ -200,7 +245,7 @@
 
     async def _open(self, call: _Call) -> None:
         try:
-            await self.loop.create_connection(lambda: call, *self.at)
+            await self.loop.create_connection(lambda: call, *call.at)
         except OSError as error:
             call.stop(str(error))
 
@@ -211,8 +256,15 @@
         if call.transport is not None:
             call.transport.abort()
 
+    def took(self, rev: int) -> None:
+        """So much of the service's list is known, from whomever."""
+        self.rev = rev
+        for call in self._calls:
+            call.newer = max(call.newer, rev)
+
     def told(self, call: _Call, news: News | None) -> None:
         """A line has come; an empty one (None) says that nothing has changed."""
+        call.spoken = True
         if call is self._former:
             if news is not None:
                 self._tell(news)
@@ -223,31 +275,56 @@
             if former is not None:
                 self._drop(former)
             self.log.info("discovery has moved", rev=news and news.rev, whole=bool(news and news.whole))
-            if news is None or not news.whole:
-                self.refresh()  # guards: who is gone need not be among the changes
+        if call is self._watch and self._replaced is not None:
+            self._drop(self._replaced)
+            self._replaced = None
         if news is None:
             news = News(self.rev, False, [])
+        elif news.rev < call.newer:
+            # guards: an answer that was on its way while another call told something newer takes it back
+            self.log.warning("an older list was passed over", rev=news.rev, had=call.newer, whole=news.whole)
+            if not call.watching and self._whole_due:
+                call.stop("older than what was told meanwhile")
+            return
         elif news.rev < self.rev:
+            # nobody told anything since this call began: the service counts anew
             self.log.warning("the list went back", rev=news.rev, had=self.rev, whole=news.whole)
             if not news.whole:
-                return  # older than what is known
+                # guards: what it counts from is not known here, and it may go on so for good. Who takes
+                # nothing new is believed at once, the rest is asked for
+                self._tell(News(news.rev, False, [t for t in news.targets if t[0].state != "active"]))
+                self.rev, self._whole_due = 0, True
+                call.stop("it counts anew")
+                return
+        self._whole_due = self._whole_due and not news.whole
         self.rev = news.rev
+        for other in self._calls:
+            if other is not call:
+                other.newer = max(other.newer, news.rev)
         self._tell(news)
+        if self._whole_due and all(c.watching for c in self._calls):
+            self.refresh()  # guards: who is gone need not be among the changes
 
     def ended(self, call: _Call, why: str) -> None:
         self._drop(call)
-        if call is self._watch:
-            self._watch = None
         if call is self._former:
             self._former = None  # guards: its end says nothing of the new address
-        elif why:
+            return
+        if call is self._replaced:
+            self._replaced = None
+            return
+        if call is self._watch:
+            self._watch, self._replaced = self._replaced, None
+        elif not self._whole_due and self._watch is not None:
+            why = ""  # guards: the watch that stands would be replaced for a call that nobody needs
+        if why:
             self.log.warning("call to discovery failed", why=why, watch=call.watching)
             self._tell_failed(call.retry_after)
 
     def tidy(self) -> None:
         """End calls that have fallen silent. Guards: a discovery that was cut off says nothing."""
         for call in list(self._calls):
-            if self.loop.time() - call.heard > QUIET:
+            if call.silent(self.loop.time()):
                 call.stop("silent")
 
     def close(self) -> None:
--- a/ospreyline/net/turn.py
+++ b/ospreyline/net/turn.py
@@ -508,7 +508,7 @@
         if news is None:
             return
         self.counts["lists_from_others"] += 1
-        self.discovery.rev = news.rev
+        self.discovery.took(news.rev)
         lines = self._lines(news)
         if news.whole:
             self.balancer.told_all(now, lines)
--- /dev/null
+++ b/tests/test_lists.py
@@ -0,0 +1,238 @@
+"""The list where two events cross: calls that overlap, a service that counts anew, silent watches."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+
+import pytest
+from stand_ins import Peer, Registry, caller, ok, request, running, target
+from test_clients import play
+from test_service import moved
+
+from ospreyline.net import discovery
+
+END = b"0\r\n\r\n"
+
+
+def listing(rev, *targets, whole=False, indent=None):
+    return json.dumps({"rev": rev, "all": whole, "targets": targets}, indent=indent).encode() + b"\n"
+
+
+def chunk(data):
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+async def served_by(service, body):
+    """All visits are served by these from now on."""
+    client = await caller(service)
+    while {(await client.ask(request()))[2] for _ in range(8)} != body:
+        pass
+
+
+async def settled(registry, service, calls):
+    await registry.until(lambda: len(registry.writers) >= calls)
+    while len(service.turn.discovery._calls) < calls:
+        await asyncio.sleep(0)
+
+
+@pytest.mark.parametrize("first", ["watch", "whole"])
+def test_a_whole_list_that_was_on_its_way_takes_back_nothing_newer(first):
+    async def story():
+        registry, peers = Registry(), (Peer(ok(b"0")), Peer(ok(b"1")))
+        async with running(*peers, registry=registry) as service:
+            known = [target(f"u{i}", peer.port) for i, peer in enumerate(peers)]
+            await registry.tell(40)
+            service.turn.discovery.refresh()
+            await settled(registry, service, 2)
+            watch, plain = registry.writers[:2]
+            leaving = target("u0", peers[0].port, state="leaving")
+            for name in ("whole", "watch") if first == "whole" else ("watch", "whole"):
+                if name == "whole":  # it was made before the change, whenever it is read
+                    plain.write(chunk(listing(40, *known, whole=True)) + END)
+                    while len(service.turn.discovery._calls) > 1:
+                        await asyncio.sleep(0)
+                else:
+                    watch.write(chunk(listing(41, leaving)))
+                    while service.turn.discovery.rev != 41:
+                        await asyncio.sleep(0)
+            await served_by(service, {b"1"})
+            assert service.turn.discovery.rev == 41 and service.turn.discovery.watching
+            await registry.until(lambda: len(registry.writers) == 1)  # and the watch goes on
+            watch.write(chunk(listing(42, target("u0", peers[0].port))))
+            await served_by(service, {b"0", b"1"})
+
+    play(story)
+
+
+def test_a_service_that_counts_anew_is_believed_and_asked_for_all():
+    async def story():
+        registry, peers = Registry(), (Peer(ok(b"0")), Peer(ok(b"1")))
+        async with running(*peers, registry=registry) as service:
+            await registry.tell(40)
+            # a change under a lower number, and the watch lives on: it was dropped, and nothing asked anew
+            await registry.tell(3, target("u0", peers[0].port, state="leaving"))
+            await served_by(service, {b"1"})  # who takes nothing new is believed at once
+            await registry.until(lambda: len(registry.requests) > 1 and len(registry.writers) == 1)
+            assert b"after=0 " in registry.requests[1][0]
+            await registry.tell(4, target("u0", peers[0].port), whole=True)
+            await served_by(service, {b"0"})
+            assert service.turn.discovery.rev == 4
+
+    play(story)
+
+
+def test_a_whole_list_of_a_service_that_was_started_again_is_believed():
+    async def story():
+        registry, peers = Registry(), (Peer(ok(b"0")), Peer(ok(b"1")))
+        async with running(*peers, registry=registry) as service:
+            await registry.tell(40)
+            registry.writers[0].close()
+            await registry.until(lambda: len(registry.requests) > 1 and len(registry.writers) == 1)
+            await registry.tell(2, target("u1", peers[1].port), whole=True)
+            await served_by(service, {b"1"})
+
+    play(story)
+
+
+@pytest.mark.parametrize("what", [
+    b'{"rev":9,"all":false,', b"x", b" ", b"head", b'{\n"rev":9,\n"targets":[\n'])
+def test_a_watch_that_trickles_without_a_whole_line_is_as_good_as_silent(what, monkeypatch):
+    # any byte counted as a sign of life: a watch could stay open for good and tell nothing
+    async def story():
+        monkeypatch.setattr(discovery, "QUIET", 0.4)
+        registry, peer = Registry(), Peer()
+        async with running(peer, registry=registry) as service:
+            if what == b"head":
+                await registry.until(lambda: bool(registry.writers))
+            else:
+                await registry.tell(4)
+            writer, bit = registry.writers[0], what
+            while writer in registry.writers:  # until we end it, though bytes go on coming
+                writer.write(b"0" if what == b"head" else chunk(bit))
+                bit = what[:1]
+                await asyncio.sleep(0.05)
+            await registry.until(lambda: len(registry.requests) > 1)  # and ask anew
+            assert service.turn.counts["faults"] == 0
+
+    play(story)
+
+
+@pytest.mark.parametrize("indent", [1, 4, "\t"])
+@pytest.mark.parametrize("piece", [3, 1 << 20])
+def test_an_indented_list_is_read_wherever_it_comes(indent, piece):
+    # lines were split at each line feed, so one object over several lines ended the watch, each time anew
+    async def story():
+        registry, peers = Registry(), (Peer(ok(b"0")), Peer(ok(b"1")))
+        async with running(*peers, registry=registry, known=[]) as service:
+            odd = target('{"[', 1, state="left", model="a } \\ \" ]")
+            zero, one = (target(f"u{i}", peer.port) for i, peer in enumerate(peers))
+            await registry.say(listing(5, odd, zero, whole=True, indent=indent) + b"\n", piece)
+            await served_by(service, {b"0"})
+            await registry.say(listing(6, zero | {"state": "leaving"}, one, indent=indent), piece)
+            await served_by(service, {b"1"})
+            assert len(registry.requests) == 1 and service.turn.discovery.rev == 6
+
+    play(story)
+
+
+def test_an_object_that_was_cut_off_ends_the_watch_at_the_next_empty_line():
+    async def story():
+        registry, peer = Registry(), Peer()
+        async with running(peer, registry=registry) as service:
+            await registry.say(b'{"rev": 7,\n "targets": [\n')
+            await registry.say(b"\n")
+            await registry.until(lambda: len(registry.requests) > 1)
+            assert service.turn.counts["faults"] == 0
+
+    play(story)
+
+
+@pytest.mark.parametrize("failure", ["reset", "older"])
+def test_who_is_gone_is_asked_for_until_it_is_told(failure):
+    # after a move the new service told changes, the call for the whole list failed, and nothing repeated it
+    async def story():
+        old, new = Registry(), await Registry().start()
+        peers = Peer(ok(b"0")), Peer(ok(b"1"))
+        async with running(*peers, registry=old) as service:
+            await old.tell(7)
+            moved(service, new)
+            await new.until(lambda: bool(new.writers))
+            await new.tell(2, target("u0", peers[0].port))
+            await settled(new, service, 2)
+            watch, plain = new.writers[:2]
+            if failure == "reset":
+                plain.transport.abort()
+            else:
+                watch.write(chunk(listing(3)))
+                while service.turn.discovery.rev != 3:
+                    await asyncio.sleep(0)
+                plain.write(chunk(listing(2, *(target(f"u{i}", p.port) for i, p in enumerate(peers)),
+                                          whole=True)) + END)
+            await new.until(lambda: len(new.requests) > 2)  # asked again, as the decisions pace it
+            while not new.writers or new.writers[-1] in (watch, plain):
+                await asyncio.sleep(0)
+            new.writers[-1].write(chunk(listing(3, target("u0", peers[0].port))))
+            await new.until(lambda: len(new.requests) > 3)
+            while new.writers[-1].is_closing() or not service.turn.discovery._calls:
+                await asyncio.sleep(0)
+            await settled(new, service, 2)
+            new.writers[-1].write(chunk(listing(3, target("u0", peers[0].port), whole=True)) + END)
+            await served_by(service, {b"0"})  # u1 is gone
+
+    play(story)
+
+
+def test_a_watch_that_is_replaced_is_heard_until_the_new_one_has_spoken():
+    async def story():
+        registry, peers = Registry(), (Peer(ok(b"0")), Peer(ok(b"1")))
+        async with running(*peers, registry=registry) as service:
+            await registry.tell(40)
+            old = registry.writers[0]
+            while service.turn.discovery.rev != 40:
+                await asyncio.sleep(0)
+            service.turn.discovery.watch(True)
+            await settled(registry, service, 2)
+            old.write(chunk(listing(42, target("u0", peers[0].port, state="leaving"))))
+            await served_by(service, {b"1"})
+            # the new one's first line was made before that
+            registry.writers[1].write(chunk(listing(41, target("u0", peers[0].port))))
+            await registry.until(lambda: len(registry.writers) == 1)
+            registry.writers[0].write(chunk(listing(43, target("u2", 1, state="left"))))
+            while service.turn.discovery.rev != 43:
+                await asyncio.sleep(0)
+            await served_by(service, {b"1"})
+
+    play(story)
+
+
+def test_a_call_that_was_dropped_while_it_connected_asks_for_nothing():
+    async def story():
+        registry = await Registry().start()
+        async with running(Peer(), registry=registry) as service:
+            await registry.until(lambda: len(registry.requests) == 1)
+            lists = service.turn.discovery
+            call = discovery._Call(lists, watching=True)
+            call.over = True
+            reader, writer = await asyncio.open_connection("127.0.0.1", registry.port)
+            call.connection_made(writer.transport)
+            assert await reader.read() == b"" and len(registry.requests) == 1
+
+    play(story)
+
+
+def test_a_call_asks_for_what_it_began_with():
+    async def story():
+        registry, other = await Registry().start(), await Registry().start()
+        async with running(Peer(), registry=registry) as service:
+            await registry.tell(4)
+            lists = service.turn.discovery
+            call = discovery._Call(lists, watching=True)
+            lists.at, lists.rev = ("127.0.0.1", other.port), 0  # moved before its connection is up
+            _, writer = await asyncio.open_connection(*call.at)
+            call.connection_made(writer.transport)
+            await registry.until(lambda: len(registry.requests) == 2)
+            assert b"after=4 " in registry.requests[1][0] and not other.requests
+            assert b"Host: 127.0.0.1:%d" % registry.port in registry.requests[1][0]
+
+    play(story)
