A stop takes what waits at its door, answers late first requests, and counts from the earliest kill

Causes: Clients.stop_listening closed the listener when accepting had been put off at the limit of descriptors, with whole requests in its queue; Clients._idle took a connection that had sent nothing for 0.1 s for idle, so its first request met a FIN and nobody sends that one again; Service._longest kept the longest client timeout there ever was, without the bound of the notice there is; the last answers had 20 ms to leave our buffers; SIGTERM before it was heard ended the process, and SIGHUP was thrown away with the file that had been replaced meanwhile. Ruled out: a second SIGTERM (an event is set twice); SIGHUP during a stop (nothing is reloaded); a stop during a move (the lists go on until the end).

Change: the listener closes once its queue is empty; the first request of a connection gets a second, and nothing is closed over bytes that lie unread; the end is counted from the settings of now, 3 s at most; the signals are blocked until they are heard.

--- a/ospreyline/__main__.py
+++ b/ospreyline/__main__.py
@@ -84,7 +84,16 @@
 @OPERATOR
 def serve(config: Path, operator_file: Path | None) -> None:
     """Serve as CONFIG says (default: the file that PROXY_CONFIG names) until SIGTERM; SIGHUP rereads it."""
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # guards: until it is heard it would end the process
+    # guards: until they are heard a signal would end the process, and a file that is replaced while this one
+    # is read would go unread; so they wait until `service.serve` hears them
+    mask = signal.pthread_sigmask(signal.SIG_BLOCK, (signal.SIGTERM, signal.SIGINT, signal.SIGHUP))
+    try:
+        _serve(config, operator_file)
+    finally:
+        signal.pthread_sigmask(signal.SIG_SETMASK, mask)
+
+
+def _serve(config: Path, operator_file: Path | None) -> None:
     post, operator = _post(config), _operator(operator_file)
 
     def reread() -> tuple[facts.Post, Operator | None]:
--- a/ospreyline/net/clients.py
+++ b/ospreyline/net/clients.py
@@ -18,13 +18,14 @@
 
 import httptools
 
-from ospreyline.net.upstreams import HOP_BY_HOP, MOST_BODY, MOST_HEAD, MOST_RAW
+from ospreyline.net.upstreams import HOP_BY_HOP, MOST_BODY, MOST_HEAD, MOST_RAW, unread
 
 IDLE = 75.0  # s that a connection may stand between requests
 SILENT = 2.0  # s that one may stand before its first byte
 SLOW = 2.3  # s that a request may take to come, or an answer to go
 FRESH = 0.02  # s after which one that has sent nothing may be closed, if there is no room
 SETTLED = 0.1  # s without a byte after which we may close an idle connection
+FIRST = 1.0  # s that a connection gets for its first request, though we are ending
 LINGER = 1.0  # s that a connection is read on after its last answer
 MOST_LINGER = 1 << 20  # bytes that are read on
 # what goes on to upstreams only as the balancer words it
@@ -95,7 +96,7 @@
         self.tag = -1  # what the door calls it
         self._parser: Any = httptools.HttpRequestParser(self)
         self._waiting: deque[Request | BadRequest] = deque()
-        self._asked = False  # it has sent a whole request
+        self.asked = False  # it has sent a whole request
         self._left_over = 0  # bytes behind its last answer
         self._keep = True
         self._reading = False
@@ -119,7 +120,7 @@
             return -1  # guards: an answer that its client is still reading would be cut short
         if self._over and self.out is None and not self._waiting:
             return 2
-        return -1 if not self.idle() else 0 if self._asked else 1
+        return -1 if not self.idle() else 0 if self.asked else 1
 
     def idle(self) -> bool:
         return self.out is None and not self._reading and not self._waiting and not self._over
@@ -207,7 +208,7 @@
 
     def on_message_complete(self) -> None:
         self._reading = False
-        self._asked = True
+        self.asked = True
         keep = self._parser.should_keep_alive()
         try:
             self._waiting.append(self._request())
@@ -323,12 +324,8 @@
         """Whether its client has gone, even if that still lies unread in the socket."""
         # guards: timers and turns come before sockets are read; after a long one, or once this process was
         # stopped, a request would go on whose client left long ago
-        transport = self.transport
-        if transport is None or transport.is_closing():
-            return True
-        look = select.poll()
-        look.register(transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
-        return bool(look.poll(0))
+        return self.transport is None or self.transport.is_closing() or unread(
+            self.transport, select.POLLRDHUP)
 
     def eof_received(self) -> bool:
         self._gone()
@@ -351,7 +348,7 @@
         """Whether it has been too long without a byte that was due."""
         if self.out is not None:
             return False
-        return now - self.since > (SLOW if self._reading or self._over else IDLE if self._asked else SILENT)
+        return now - self.since > (SLOW if self._reading or self._over else IDLE if self.asked else SILENT)
 
     def drop(self) -> None:
         if self.transport is not None:
@@ -379,8 +376,11 @@
         name: tuple[str, int] = sock.getsockname()[:2]
         return name
 
-    def accept(self) -> None:
-        """Accept all that waits, as far as descriptors allow; the longest idle connection makes room."""
+    def accept(self) -> bool:
+        """Accept all that waits, as far as descriptors allow; the longest idle connection makes room.
+
+        False where something may be waiting still.
+        """
         sock = self._socket
         while sock is not None:
             here = len(self.open) + len(self._coming)
@@ -389,19 +389,22 @@
             if here >= self.most_open // 2 and not self._make_room(SETTLED) \
                     and here >= self.most_open and not self._make_room(FRESH):
                 self._put_off(sock)
-                return
+                return False
             try:
                 conn, _ = sock.accept()
-            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
-                return
+            except BlockingIOError:
+                return True
+            except (InterruptedError, ConnectionAbortedError):
+                continue  # guards: one that is gone must not keep those behind it waiting
             except OSError:
                 self._put_off(sock)
-                return
+                return False
             conn.setblocking(False)
             self.door.counts["accepted"] += 1
             task = self.loop.create_task(self._admit(conn))
             self._coming.add(task)
             task.add_done_callback(self._coming.discard)
+        return True
 
     async def _admit(self, conn: socket.socket) -> None:
         try:
@@ -448,10 +451,19 @@
         """Whether anything that was taken waits for its answer, or is on its way in or out."""
         return bool(self._coming) or any(client.busy() for client in self.open)
 
-    def stop_listening(self) -> None:
-        """Accept what waits, then listen no more."""
-        self.accept()
-        self._shut()
+    def stop_listening(self) -> bool:
+        """Accept what waits, then listen no more; False while it cannot all be accepted.
+
+        Guards: at the limit of descriptors connections, with whole requests in them, wait in the queue.
+        """
+        drained = self.accept()
+        if drained:
+            self._shut()
+        return drained
+
+    def sending(self) -> bool:
+        """Whether an answer has not left our buffers."""
+        return any(c.transport is not None and c.transport.get_write_buffer_size() for c in self.open)
 
     def _shut(self) -> None:
         sock, self._socket = self._socket, None
@@ -469,6 +481,8 @@
             client.finish()
 
     def _idle(self) -> list[Client]:
-        # guards: the request of one that was accepted just now may wait to be read
-        settled = self.loop.time() - SETTLED
-        return [client for client in self.open if client.idle() and client.since < settled]
+        # guards: the request of one that was accepted just now may wait to be read, or be under way: one that
+        # was answered may be closed between requests, but the first on a connection is owed an answer
+        now = self.loop.time()
+        return [c for c in self.open if c.idle() and now - c.since > (SETTLED if c.asked else FIRST)
+                and c.transport is not None and not unread(c.transport, select.POLLIN)]
--- a/ospreyline/net/service.py
+++ b/ospreyline/net/service.py
@@ -21,11 +21,14 @@
 if TYPE_CHECKING:
     from ospreyline.operator import Operator
 
+SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 TIDY = 0.25  # s between two rounds over idle connections and silent calls
 COUNTS = 20  # rounds between two lines of counts
 KEEP_ACCEPTING = 0.5  # s after the signal to stop: new connections still come
 SETTINGS = ("terms", "prefix_names", "zone_names", "connect_time_out", "keep_idle")
 LAST_ANSWERS = 0.6  # s on top of the longest client timeout, then what is left is answered anyhow
+MOST_NOTICE = 3.0  # s, the longest client timeout that a stop waits for, whatever the settings have
+LAST_BYTES = 0.06  # s for those answers to leave our buffers; we are killed 0.04 s later at the earliest
 
 
 def _longest(post: Post) -> float:
@@ -44,7 +47,6 @@
         self.turn = Turn(loop, post, operator)
         self.clients = Clients(loop, self.turn, self.turn.most_clients)
         self.at = post.listen
-        self._longest = _longest(post)  # s: a visit that was taken under former settings may have that long
         self._rounds = 0
         self._tidying: asyncio.TimerHandle | None = None
         self._fleet: asyncio.Task[None] | None = None
@@ -81,7 +83,6 @@
         settings = any(getattr(self._post, key) != getattr(new, key) for key in SETTINGS)
         if settings:
             self.turn.adopt(new)
-            self._longest = max(self._longest, _longest(new))
         self._post = new
         if operator is not None and operator != self._operator:
             self.turn.operate(operator)
@@ -97,16 +98,21 @@
         if self.turn.bank is not None:
             self.turn.bank.leave()
         self.turn.closing = True
+        # guards: counted from the settings of now. One that was taken under longer ones is answered early:
+        # the time until the process is killed is counted from what it was given last
+        ends = began + min(_longest(self._post), MOST_NOTICE) + LAST_ANSWERS
         await asyncio.sleep(KEEP_ACCEPTING)
-        self.clients.stop_listening()
-        while self._loop.time() < began + self._longest + LAST_ANSWERS:
+        while self._loop.time() < ends:
+            listening = not self.clients.stop_listening()
             self.clients.finish_idle()
-            if not self.clients.busy() and not self.clients.open:
+            if not listening and not self.clients.busy() and not self.clients.open:
                 break
             await asyncio.sleep(0.02)
         if self.turn.visits:
             self.turn.answer_all()
-            await asyncio.sleep(0.02)
+            await asyncio.sleep(0.01)
+        while self.clients.sending() and self._loop.time() < ends + LAST_BYTES:
+            await asyncio.sleep(0.005)
         self.end()
         self._counts()
         self._log.info("stopped")
@@ -183,11 +189,12 @@
     """Run a balancer until SIGTERM or SIGINT; SIGHUP reads its files again."""
     loop = asyncio.get_running_loop()
     told_to_stop = asyncio.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
+    for number in SIGNALS[:2]:
         loop.add_signal_handler(number, told_to_stop.set)
     service = Service(loop, post, operator)
     loop.add_signal_handler(signal.SIGHUP, service.reload, reread)
     service.start()
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, SIGNALS)
     gc.collect()
     gc.freeze()  # what lives as long as we do is not looked at again
     await told_to_stop.wait()
--- a/ospreyline/net/upstreams.py
+++ b/ospreyline/net/upstreams.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import select
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum, IntEnum
@@ -101,6 +102,16 @@
     return ()
 
 
+def unread(transport: asyncio.BaseTransport, what: int) -> bool:
+    """Whether bytes, or the other side's end, lie in a connection's socket that the loop has not read yet.
+
+    `what` is a mask of `select.poll`; an error counts always.
+    """
+    look = select.poll()
+    look.register(transport.get_extra_info("socket").fileno(), what)
+    return bool(look.poll(0))
+
+
 class Errand:
     """One request to an upstream, until it has ended."""
 
