Connections to upstreams: none with something unread, or to what an upstream was, is used again

Shown by tests/test_reuse.py on the text before. Causes: Peer.run took an idle connection whose end, or whose second answer, lay in the socket unread (timers and turns come before sockets are read), so a mutating visit met a reset that may have run; Peer.rest took a connection back after the list had named its upstream anew, by address, process or drain; Upstreams.listed let a fetch go on connecting to the former address, and Turn._start wrote one that was chosen warm in the turn in which the list told a new process.

--- a/ospreyline/net/covering.py
+++ b/ospreyline/net/covering.py
@@ -92,13 +92,14 @@
         if not taken.answered and not taken.errands:
             self.takeover.held(now, taken.tag)
 
-    def may_write(self, now: float, taken: Taken, number: int, upstream: int, time_out: float) -> bool:
+    def may_write(self, now: float, taken: Taken, number: int, upstream: int, times: int,
+                  time_out: float) -> bool:
         """Whether a fetch may be written now; else it is when its permit comes."""
         zone, cell = self._turn.place(upstream)
         if self.takeover.send(now, taken.tag, number, zone, cell, now <= self._turn.stood_to):
             self._speak()
             return True
-        self._waiting[taken.tag] = (self._turn.write, (taken, number, upstream, now + time_out))
+        self._waiting[taken.tag] = (self._turn.write, (taken, number, upstream, times, now + time_out))
         self._speak()
         return False
 
--- a/ospreyline/net/turn.py
+++ b/ospreyline/net/turn.py
@@ -427,14 +427,15 @@
 
     # -- upstreams ----------------------------------------------------------------------------------------
 
-    def _start(self, now: float, taken: Taken, number: int, upstream: int, time_out: float) -> None:
-        if self.covering is None or self.covering.may_write(now, taken, number, upstream, time_out):
-            self.write(now, taken, number, upstream, now + time_out)
+    def _start(self, now: float, taken: Taken, number: int, upstream: int, times: int,
+               time_out: float) -> None:
+        if self.covering is None or self.covering.may_write(now, taken, number, upstream, times, time_out):
+            self.write(now, taken, number, upstream, times, now + time_out)
 
-    def write(self, now: float, taken: Taken, number: int, upstream: int, until: float) -> None:
-        """A fetch goes out that may take until then."""
+    def write(self, now: float, taken: Taken, number: int, upstream: int, times: int, until: float) -> None:
+        """A fetch goes out that may take until then, to the upstream as it was when it was chosen."""
         request, time_out = taken.request, until - now
-        if time_out <= 0:
+        if time_out <= 0 or times != self.upstreams.peers[upstream].times:
             return self.note(self.ended, taken, number, Cut(Stage.CONNECTING, Why.WITHDRAWN))
         errand = taken.errands[number] = Errand(
             request.head(), request.body, now, time_out, request.method == b"HEAD",
@@ -601,7 +602,8 @@
     def send(self, tag: int, upstream: int, time_out: float) -> None:
         taken = self.visits[tag]
         taken.errands.append(None)
-        self._to_do.append((self._start, (taken, len(taken.errands) - 1, upstream, time_out)))
+        times = self.upstreams.peers[upstream].times
+        self._to_do.append((self._start, (taken, len(taken.errands) - 1, upstream, times, time_out)))
 
     def cancel(self, tag: int, fetch: int) -> None:
         if (taken := self.visits.get(tag)) is not None:
--- a/ospreyline/net/upstreams.py
+++ b/ospreyline/net/upstreams.py
@@ -22,7 +22,7 @@
 MOST_HEAD = 32_768
 MOST_ANSWER = 1 << 20  # bytes of an answer's body
 MOST_RAW = MOST_HEAD + 8 * MOST_BODY  # one message as sent: small chunks cost several times their content
-SETTLE = 2.0  # ms after an answer in which what came behind it, or its connection's end, shows
+SETTLE = 25.0  # ms after an answer in which what came behind it, or its connection's end, shows
 KEEP_SHARE = 0.8  # of the time that an upstream keeps an idle connection: ours are closed earlier
 MOST_UTIL, MOST_FIGURE = 4.0, 1e5  # of a load report
 HOP_BY_HOP = frozenset((
@@ -166,6 +166,7 @@
 
     def __init__(self, peer: Peer) -> None:
         self.peer = peer
+        self.times = peer.times
         self.errand: Errand | None = None
         self.transport: asyncio.Transport | None = None
         self.used = 0.0  # when its last whole answer came
@@ -237,7 +238,7 @@
         answer = self._answer
         assert answer is not None
         self.errand = errand.conn = None
-        if keep:
+        if keep and self.times == self.peer.times:  # guards: it leads to an address or a process of before
             self._raw = 0
             self._begin()
             self.peer.rest(self)
@@ -322,6 +323,7 @@
         self.at = at
         self.started = 0.0  # of its process, as the list says
         self.withdrawn = False  # the list says that it takes nothing new
+        self.times = 0  # that the list named it anew: other address, other process, or takes nothing new
         self.idle: list[Conn] = []  # last used last
         self.errands: dict[Errand, None] = {}
 
@@ -338,8 +340,9 @@
             if now - conn.used < SETTLE:
                 continue  # guards: a second answer behind the last one would be taken for this one's
             self.idle.remove(conn)
+            # guards: an end, or a second answer, that has come and was not read yet would be this one's
             if conn.transport is not None and not conn.transport.is_closing() \
-                    and now - conn.used < self.pool.keep_idle:
+                    and now - conn.used < self.pool.keep_idle and not unread(conn.transport, select.POLLIN):
                 conn.start(errand, now)
                 return
             conn.close()
@@ -402,14 +405,22 @@
         for conn in [c for c in self.idle if c.used <= before]:
             conn.close()
 
-    def withdraw(self) -> None:
-        """The list says that it takes nothing new: what is not yet written goes no more."""
-        self.withdrawn = True
+    def renew(self) -> None:
+        """The list names it anew: what leads to what it was is not used again, nor written to.
+
+        Guards: a fetch that was chosen for the former address or process would be written there, or to one
+        that is cold now; one that waits for its connection could leave later than the grace after a drain.
+        """
+        self.times += 1
         self.drop_idle()
-        # guards: a send that waits for its connection could leave later than the grace after a drain
         for errand in [e for e in self.errands if e.stage is Stage.CONNECTING]:
             errand.cut(Why.WITHDRAWN)
 
+    def withdraw(self) -> None:
+        """The list says that it takes nothing new."""
+        self.withdrawn = True
+        self.renew()
+
 
 class Upstreams:
     """All upstreams, by the small index that the front gave them, and the descriptors they may use."""
@@ -440,7 +451,7 @@
         """What the list says of one now."""
         peer = self.peers[upstream]
         if at != peer.at or started != peer.started:
-            peer.drop_idle()  # another address or process
+            peer.renew()
         peer.at, peer.started, peer.withdrawn = at, started, not ready
         if not ready:
             peer.withdraw()
--- /dev/null
+++ b/tests/test_reuse.py
@@ -0,0 +1,177 @@
+"""Connections to upstreams where two events cross: what lies unread, an upstream that is named anew."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+
+import pytest
+from stand_ins import SILENT, Peer, Registry, caller, ok, request, running, target
+from test_clients import play
+from test_left import Gate
+from test_lists import served_by
+
+from ospreyline.net import upstreams
+from ospreyline.net.turn import clock
+
+
+class Raw:
+    """An upstream whose connections are in the story's own hand: nothing is read or written by itself."""
+
+    def __init__(self) -> None:
+        self.server = socket.create_server(("127.0.0.1", 0))
+        self.server.setblocking(False)
+        self.port = self.server.getsockname()[1]
+
+    async def take(self) -> tuple[socket.socket, bytes]:
+        """The next connection, with the request that came on it."""
+        loop = asyncio.get_running_loop()
+        conn, _ = await asyncio.wait_for(loop.sock_accept(self.server), 5)
+        return conn, await asyncio.wait_for(loop.sock_recv(conn, 65_536), 5)
+
+
+@pytest.mark.parametrize("path", ["/read", "/change"])
+@pytest.mark.parametrize("what", ["end", "reset", "second answer", "nothing"])
+def test_a_connection_with_something_unread_is_not_used_again(what, path, monkeypatch):
+    # its end in the socket when a visit took it: a reset that may have run, for one that may not run twice
+    async def story():
+        monkeypatch.setattr(upstreams, "SETTLE", 0.0)
+        raw, loop = Raw(), asyncio.get_running_loop()
+        async with running(known=[target("u0", raw.port)]) as service:
+            balancer, place = service.turn.balancer, service.turn.balancer._place
+            client = await caller(service)
+            client.writer.write(request())
+            conn, _ = await raw.take()
+            conn.sendall(ok(b"first"))
+            assert (await client.answer())[2] == b"first"
+            # the next one waits, so that it is sent in a turn before which nothing is read
+            monkeypatch.setattr(balancer, "_place", lambda *_: False)
+            balancer._flow = 100.0
+            client.writer.write(request(path, "GET" if path == "/read" else "POST", trace="next"))
+            while not balancer._held:
+                await asyncio.sleep(0)
+            monkeypatch.setattr(balancer, "_place", place)
+            if what == "reset":
+                conn.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            if what in ("end", "reset"):
+                conn.close()
+            elif what == "second answer":
+                conn.sendall(ok(b"first"))
+            balancer._look(clock())
+            service.turn._turn()
+            if what == "nothing":
+                got = await loop.sock_recv(conn, 65_536)
+            else:
+                conn, got = await raw.take()
+            assert b"next" in got
+            conn.sendall(ok(b"next"))
+            status, _, body = await client.answer()
+            assert (status, body) == (200, b"next")
+            assert service.turn.counts["reset"] == service.turn.counts["errored"] == 0
+            conn.close()
+
+    play(story)
+
+
+@pytest.mark.parametrize("first", ["answer", "list"])
+@pytest.mark.parametrize("how", ["address", "process", "drained and back"])
+def test_a_connection_to_what_the_upstream_was_is_not_used_again(how, first, monkeypatch):
+    # an answer that came after the list had named it anew put its connection back among the idle ones
+    async def story():
+        monkeypatch.setattr(upstreams, "SETTLE", 0.0)
+        registry, old, new = Registry(), Peer(SILENT), await Peer(ok(b"new")).start()
+        async with running(old, registry=registry) as service:
+            await registry.tell(4)
+            client = await caller(service)
+            client.writer.write(request())
+            await old.until(lambda: bool(old.requests))
+            port = new.port if how == "address" else old.port
+            rev = 5
+
+            async def told():
+                nonlocal rev
+                if how == "drained and back":
+                    await registry.tell(rev, target("u0", port, state="leaving"))
+                    rev += 1
+                boot = 1e12 if how == "process" else 0
+                await registry.tell(rev, target("u0", port, boot_ms=boot))
+                while service.turn.discovery.rev != rev:
+                    await asyncio.sleep(0)
+
+            async def answered():
+                old.writers[0].write(ok(b"old"))
+                assert (await client.answer())[2] == b"old"
+
+            for event in (answered, told) if first == "answer" else (told, answered):
+                await event()
+            old.answers = [ok(b"again")]
+            await old.until(lambda: old.open == 0)  # that connection is closed
+            await served_by(service, {b"new" if how == "address" else b"again"})
+            assert len(old.requests) == 1 or how != "address"
+
+    play(story)
+
+
+@pytest.mark.parametrize("how", ["address", "process"])
+def test_what_waits_for_a_connection_to_what_the_upstream_was_is_chosen_anew(how, monkeypatch):
+    async def story():
+        registry = Registry()
+        gate = await Gate().held(asyncio.get_running_loop(), monkeypatch)
+        new = await Peer(ok(b"new")).start()
+        async with running(registry=registry, known=[target("u0", gate.port)],
+                           ConnectTimeoutUs=4_000_000) as service:
+            await registry.tell(4)
+            client = await caller(service)
+            client.writer.write(request("/change", "POST", b"x"))
+            await asyncio.wait_for(gate.connecting.wait(), 5)
+            moved = target("u0", new.port) if how == "address" else target("u0", gate.port, boot_ms=1e12)
+            await registry.tell(5, moved)
+            while not service.turn.counts["unsent"]:
+                await asyncio.sleep(0)
+            gate.open.set()
+            # it never ran: sent elsewhere, or bounced where this is the only one
+            assert (await client.answer())[0] == 503
+            for _ in range(20):
+                await asyncio.sleep(0)
+            assert not gate.got
+
+    play(story)
+
+
+def test_what_was_chosen_in_the_turn_in_which_its_upstream_was_started_anew_is_chosen_again(monkeypatch):
+    # chosen warm, told cold, then written: one that is over the cold budget and not counted in it
+    async def story():
+        peer = Peer(SILENT)
+        async with running(peer) as service:
+            turn, real, written = service.turn, service.turn._take, []
+
+            def take(now, taken):
+                real(now, taken)
+                turn._told(now, turn_news())
+
+            def turn_news():
+                from ospreyline.net.discovery import News, Target
+
+                born = Target("u0", f"127.0.0.1:{peer.port}", "a", 0, "active", 1e3 * wall())
+                return News(9, False, [(born, ("127.0.0.1", peer.port))])
+
+            def wall():
+                import time
+
+                return time.time()
+
+            start = upstreams.Conn.start
+
+            def noted(conn, errand, now):
+                written.append(len(turn.balancer._upstreams[0].cold_sends))
+                start(conn, errand, now)
+
+            monkeypatch.setattr(upstreams.Conn, "start", noted)
+            monkeypatch.setattr(turn, "_take", take)
+            client = await caller(service)
+            client.writer.write(request(X_Expires_In="0.3"))
+            await client.answer()
+            assert all(written)
+
+    play(story)
