What was read under former settings is decided, timed and left by its own class's terms

Shown by tests/test_handover.py on the text before: Turn._left and Turn.decide used the index of the time of reading again after a reload, when it names another path prefix or none (a fault in the turn, and the visit stayed for good; with takeover on, a read-like visit was decided as a mutating one, or the other way). Without takeover nothing waits between reading and deciding (Turn.adopt plays the turn first). decide.set_terms kept a load that was read as a queue beside new ones in another unit.

--- a/ospreyline/decide.py
+++ b/ospreyline/decide.py
@@ -5,8 +5,7 @@
 `told_all`, `told_changes`, `told_nothing`, `probed`, `heard`, `set_terms`. The decisions act through
 `host.Host`. docs/design.md has the design and the conditions of each exception, marked E1, E3 ... here.
 
-From top to bottom: the figures, the records, then the balancer: its calls, the four rules and the one send
-they guard, the ordinary path, further fetches, the periodic work.
+From top to bottom: figures, records, then the balancer: calls, the rules and the one send, placing, the rest.
 """
 
 from __future__ import annotations
@@ -248,11 +247,10 @@
         self._ready: list[Upstream] = []
         self._due: list[Upstream] = []  # failing ones whose trial is due
         self._shares: list[tuple[float, int]] = []  # running total of the shares, zone
-        self._mean_report = 0.0
         self._memory = FORGET  # how long what was measured of an upstream holds
         self._looking = False
         self._held = self._delivered = self._taken = 0
-        self._flow = self._asked = 0.0  # visits a second that we see delivered, that we are asked
+        self._flow = self._asked = self._mean_report = 0.0  # visits a second that we deliver, are asked
         self._short_at = -inf  # room was last short then
         self._second_at = now
         self._lanes, self._by_value, self._levels = list[Lane](), list[Lane](), list[Level]()
@@ -305,6 +303,8 @@
         cold = "cold_from", "warm_within", "overload_factor", "tip_after", "zones", "balancers"
         redrawn = any(getattr(old, figure) != getattr(terms, figure) for figure in cold)
         for u in self._upstreams.values():
+            if again and old.report_fields != fields:
+                u.report_at = -inf  # guards: a load in another unit, which the new means would be mixed with
             if redrawn:
                 # guards: a draw under the old figures could be over the new ones, and what was sent to one
                 # that counted as warm was not noted: a window goes by first
--- a/ospreyline/net/turn.py
+++ b/ospreyline/net/turn.py
@@ -21,7 +21,7 @@
 
 from ospreyline.decide import Balancer, Visit
 from ospreyline.facts import Post
-from ospreyline.host import End, Kind, Listed, Readiness
+from ospreyline.host import End, Kind, Listed, PathPrefix, Readiness
 from ospreyline.net import discovery
 from ospreyline.net.clients import Client, Request
 from ospreyline.net.discovery import Discovery, News, Target
@@ -51,14 +51,15 @@
 class Taken:
     """A visit as the front knows it: who waits for it, its handle, and the errands out for it."""
 
-    __slots__ = ("answered", "came", "client", "errands", "handle", "late", "left", "request", "tag",
+    __slots__ = ("answered", "came", "client", "errands", "handle", "late", "left", "request", "tag", "terms",
                  "timed_out")
 
-    def __init__(self, tag: int, request: Request, client: Client | None) -> None:
+    def __init__(self, tag: int, request: Request, terms: PathPrefix, client: Client | None) -> None:
         self.tag = tag
         self.request = request
         self.client = client
         self.handle: Visit | None = None
+        self.terms = terms  # of its path prefix when it came; after a reload its index may be another's
         self.errands: list[Errand | None] = []
         self.came = 0.0
         self.answered = False
@@ -279,7 +280,8 @@
             return self.covering is not None and self.covering.joins(request, client)
         self._ids.add(request.trace)
         self._tags += 1
-        taken = self.visits[self._tags] = Taken(self._tags, request, client)
+        terms = self._post.terms.prefixes[request.prefix]
+        taken = self.visits[self._tags] = Taken(self._tags, request, terms, client)
         client.tag = self._tags
         self.note(self._take, taken)
         return True
@@ -301,8 +303,7 @@
             return
         self.counts["visits"] += 1
         taken.came = now
-        request = taken.request
-        terms = self._post.terms.prefixes[request.prefix]
+        request, terms = taken.request, taken.terms
         left = terms.client_timeout
         if request.time_left is not None:
             left = min(left, request.time_left)
@@ -316,10 +317,14 @@
 
     def decide(self, now: float, taken: Taken, left: float, ran: Sequence[tuple[str, int, float]]) -> None:
         """The decisions get it; `ran`: what balancers before us may have sent, as (zone, cell, ms ago)."""
-        request = taken.request
+        prefixes = self._post.terms.prefixes
+        if taken.terms not in prefixes:
+            # guards: it waited for a word over a reload, and its index is another's, or nobody's, by now
+            return self.fail(taken.tag) if ran else self.refuse(taken.tag)
         before = [(self._zones.get(zone, -1), cell, now - ago) for zone, cell, ago in ran]
         taken.errands = [None] * len(before)
-        taken.handle = self.balancer.take(now, taken.tag, request.prefix, left, request.repeat, before)
+        prefix = prefixes.index(taken.terms)
+        taken.handle = self.balancer.take(now, taken.tag, prefix, left, taken.request.repeat, before)
         if self.covering is not None and len(taken.errands) == len(before):
             self.covering.decided(now, taken)
         self._settle(taken)
@@ -327,7 +332,7 @@
     def adopt_visit(self, now: float, tag: int, request: Request, left: float,
                     ran: Sequence[tuple[str, int, float]]) -> None:
         """A visit of a balancer that is lost, for which nobody waits here."""
-        taken = self.visits[tag] = Taken(tag, request, None)
+        taken = self.visits[tag] = Taken(tag, request, self._post.terms.prefixes[request.prefix], None)
         taken.came = now
         self._ids.add(request.trace)
         taken.late = self._loop.call_later(max(0.0, left + BACKSTOP) / 1e3, self.note, self._overdue, taken)
@@ -346,8 +351,7 @@
 
     def _left(self, now: float, taken: Taken) -> None:
         if self.covering is not None and not taken.answered:
-            kind = self._post.terms.prefixes[taken.request.prefix].kind
-            if self.covering.goes_on(now, taken, kind):
+            if self.covering.goes_on(now, taken, taken.terms.kind):
                 taken.left = False
                 return
             if taken.handle is None:
--- /dev/null
+++ b/tests/test_handover.py
@@ -0,0 +1,117 @@
+"""A reload over what was read under the settings before it, and a list that is pushed."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from dataclasses import replace
+
+import pytest
+from stand_ins import (
+    FakeHost,
+    Peer,
+    caller,
+    configuration,
+    listed,
+    request,
+    running,
+)
+from test_clients import play
+
+from ospreyline import facts
+from ospreyline.host import Kind
+
+
+def reload(service, names, **settings):
+    """Settings with just these path prefixes, in this order."""
+    told = configuration([])
+    settings_now = told["settings"]
+    by_name = {p["Name"]: p for p in settings_now["PathPrefixes"]}
+    settings_now["PathPrefixes"] = [by_name[name] | settings.get(name, {}) for name in names]
+    service.reload(lambda: (facts.post(json.dumps(told).encode(), {}), None))
+
+
+class Waits:
+    """In place of takeover: every visit waits for a word before the decisions have it."""
+
+    def __init__(self) -> None:
+        self.kinds: list[Kind] = []
+        self.waiting: list = []
+
+    def begins(self, now, taken, left, kind):
+        self.waiting.append((taken, left))
+        return False
+
+    def goes_on(self, now, taken, kind):
+        self.kinds.append(kind)
+        return False
+
+    def counts(self):
+        return {}
+
+    def __getattr__(self, name):
+        return lambda *_: name.startswith("may")
+
+
+@pytest.mark.parametrize("ran", [False, True])
+@pytest.mark.parametrize(("names", "changes", "status"), [
+    (["change", "tag", "read"], {}, 200),  # another place, the same terms
+    (["change", "tag"], {}, 503),  # its place is nobody's, or another's
+    (["change"], {}, 503),
+    (["read", "tag", "change"], {"read": {"Semantics": "once"}}, 503),  # another promise under its name
+])
+def test_a_visit_that_waited_over_a_reload_is_never_decided_as_another_class(names, changes, status, ran):
+    async def story():
+        peer = Peer()
+        async with running(peer) as service:
+            service.turn.covering = waits = Waits()
+            client = await caller(service)
+            client.writer.write(request())
+            while not waits.waiting:
+                await asyncio.sleep(0)
+            reload(service, names, **changes)
+            (taken, left), turn = waits.waiting[0], service.turn
+            turn.note(turn.decide, taken, left, [("a", 0, 5.0)] if ran else [])
+            got = (await client.answer())[0]
+            # one that may have run is never said to be harmless to repeat
+            assert got == (502 if ran and status == 503 else status) and len(peer.requests) == (got == 200)
+            if got == 200:
+                assert taken.handle.lane.kind is Kind.READ_LIKE
+            assert not turn.counts["faults"] and not turn.visits
+
+    play(story)
+
+
+@pytest.mark.parametrize("names", [["change", "tag", "read"], ["tag"]])
+def test_a_client_that_leaves_after_a_reload_leaves_what_it_asked_for(names):
+    # its index named another class by then, or none: a fault in the turn, and the visit stayed for good
+    async def story():
+        async with running(Peer()) as service:
+            service.turn.covering = waits = Waits()
+            client = await caller(service)
+            client.writer.write(request("/change", "POST", b"x"))
+            while not waits.waiting:
+                await asyncio.sleep(0)
+            reload(service, names)
+            client.writer.close()
+            while service.turn.visits:
+                await asyncio.sleep(0)
+            assert waits.kinds == [Kind.MUTATING] and not service.turn.counts["faults"]
+
+    play(story)
+
+
+def test_a_load_read_under_other_fields_counts_no_more():
+    host = FakeHost([listed(i) for i in range(3)], report_fields=("queue",))
+    u = host.balancer._upstreams[0]
+    host.balancer._take_report(u, host.now, (30.0,))
+    host.balancer._rank(host.now)
+    assert host.balancer._mean_report == 30.0
+    terms = replace(host.balancer._terms, report_fields=("util",))
+    host.balancer.set_terms(host.now, terms)
+    host.balancer._rank(host.now)
+    assert host.balancer._mean_report == 0.0
+    host.balancer._take_report(u, host.now, (0.5,))
+    host.balancer.set_terms(host.now, terms)  # and the same again leaves it
+    host.balancer._rank(host.now)
+    assert host.balancer._mean_report == 0.5
