A pushed list is awaited at the start, and its watch opened anew at once

Turn.ready was true with what the process had kept, before the list had come; after a watch's end decide.told_nothing waited 0.25 to 12 s (its bound is for a service that is asked), in steps of its beat.

Change: ready once the list has come or its first call has failed; the front opens a pushed list's watch anew after 25 ms, growing to 250, spread by chance; to the decisions no call of a pushed list fails.

--- a/ospreyline/net/turn.py
+++ b/ospreyline/net/turn.py
@@ -39,6 +39,7 @@
 SETTLED = 100.0  # ms after which what waited in sockets meanwhile has been read
 FORGET = 60_000.0  # ms after which one that the list took away is forgotten
 FLEET = 64  # descriptors for links to other balancers, where they are on
+AGAIN, MOST_AGAIN = 25.0, 250.0  # ms until a pushed list's watch is opened anew: at first, and at the most
 PROBE_TIME_OUTS = 2.0  # a probe may take this many times as long as connecting may
 _READINESS = {"active": Readiness.READY, "leaving": Readiness.DRAINING, "left": Readiness.GONE}
 
@@ -110,6 +111,8 @@
         part = (post.sockets - 32 - (FLEET if operator is not None and operator.fleet.bank else 0)) // 2
         self.most_clients = part
         self.upstreams = Upstreams(loop, clock, part, post.connect_time_out, post.keep_idle,
+        self._again, self._draw = AGAIN, Random(post.seed + 2).random
+        self._pushed = False  # the list has come, or its first call has failed
                                    post.memory // 8)
         if operator is not None:
             self._switch_on(operator)
@@ -295,7 +298,9 @@
 
     def ready(self) -> bool:
         """Whether a visit could be decided."""
-        return not self.closing and Readiness.READY in self._states.values()
+        # guards: what is pushed counts as told from the first moment of this process, whatever it has in hand
+        return (not self.closing and Readiness.READY in self._states.values()
+                and (self._pushed or self._post.terms.ask_for_list or self._pace is not None))
 
     def _take(self, now: float, taken: Taken) -> None:
         if taken.client is None:
@@ -499,8 +504,19 @@
             self._pace.hasten(now)
             self._plan()
 
+        elif not self._post.terms.ask_for_list:
+            # guards: each change of a pushed list counts as told though no watch is open. To the decisions it
+            # comes by itself and no call fails; their waits for a service that is asked are far too long
+            self._pushed = True
+            self.wake(now + self._again * (0.5 + self._draw()), self._watch_again)
+            self._again = min(2 * self._again, MOST_AGAIN)
+            return
     def _hinted(self, now: float, body: bytes) -> None:
         if self._post.terms.may_tell:
+    def _watch_again(self, now: float) -> None:
+        if not self._post.terms.ask_for_list and not self.discovery.watching:
+            self.discovery.watch(True)
+
             self.balancer.heard(now, body)
 
     def _told_by_others(self, now: float, others: Any) -> None:
@@ -531,6 +547,7 @@
             self.bank.told(news.rev, news.whole, [
                 (target.uid, target.state == "left", json.encode(target)) for target, _ in news.targets])
         lines = self._lines(news)
+        self._pushed, self._again = True, AGAIN
         if news.whole:
             self.balancer.told_all(now, lines)
         else:
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -234,7 +234,7 @@
         "name": "n0", "listen": "127.0.0.1:0", "discovery": f"127.0.0.1:{registry}", "seed": "8c1f",
         "limits": {"sockets": sockets}, "known": {"rev": 3, "all": True, "targets": known},
         "settings": {
-            "Balancers": 1, "Dcs": ["a", "b"], "Zone": 0, "Me": 0, "Discovery": "ask",
+            "Balancers": 1, "Dcs": ["a", "b"], "Zone": 0, "Me": 0, "Discovery": caps.pop("Discovery", "ask"),
             "PathPrefixes": [prefix("read", "repeatable"), prefix("tag", "by_key"), prefix("change", "once")],
             "Caps": {"Cancel": True, "MostBackendFetches": 3, "MaxRetryAfterUs": 2_000_000,
                      "RetryAfter": True, **caps}}}
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -8,15 +8,20 @@
 
 import pytest
 from stand_ins import (
+    RESET,
     FakeHost,
     Peer,
+    Registry,
     caller,
     configuration,
     listed,
+    ok,
     request,
     running,
+    target,
 )
 from test_clients import play
+from test_lists import served_by
 
 from ospreyline import facts
 from ospreyline.host import Kind
@@ -115,3 +120,61 @@
     host.balancer.set_terms(host.now, terms)  # and the same again leaves it
     host.balancer._rank(host.now)
     assert host.balancer._mean_report == 0.5
+
+
+def pushed(service, registry):
+    told = configuration([], registry.port)
+    told["settings"]["Discovery"] = "push"
+    service.reload(lambda: (facts.post(json.dumps(told).encode(), {}), None))
+
+
+async def ready(service):
+    _, head, _ = await (await caller(service)).ask(b"GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n")
+    return b" 200 " in head
+
+
+@pytest.mark.parametrize("first", ["list", "failure"])
+def test_a_pushed_list_is_awaited_before_a_balancer_is_ready(first):
+    # what the agent has counts as told from the first moment of a process; it served from what it had kept
+    async def story():
+        registry = Registry()
+        registry.answers = [RESET] if first == "failure" else registry.answers
+        await registry.start()
+        peer = await Peer().start()
+        async with running(registry=registry, known=[target("u0", peer.port)], Discovery="push") as service:
+            assert not await ready(service)
+            if first == "list":
+                await registry.tell(4, target("u0", peer.port))
+            while not await ready(service):  # an agent that cannot be reached tells nothing
+                pass
+            assert service.turn._pushed
+
+    play(story)
+
+
+def test_a_pushed_lists_watch_is_opened_anew_at_once_and_more_slowly_while_that_fails():
+    async def story():
+        registry, peers = Registry(), (Peer(ok(b"0")), Peer(ok(b"1")))
+        async with running(*peers, registry=registry, Discovery="push") as service:
+            await registry.tell(4)
+            loop, waits, wake = asyncio.get_running_loop(), [], service.turn.wake
+            while service.turn.discovery.rev != 4:
+                await asyncio.sleep(0)
+
+            def noted(at, call):
+                if call == service.turn._watch_again:
+                    waits.append(at - service.turn._turned)
+                wake(at, call)
+
+            service.turn.wake = noted
+            registry.answers = [RESET]
+            registry.writers[0].close()
+            began = loop.time()
+            await registry.until(lambda: len(registry.requests) > 6)
+            assert loop.time() - began < 4  # the decisions' waits alone come to 12 s
+            assert waits[0] < 40 and all(wait <= 375 for wait in waits) and max(waits) > 80
+            registry.answers = [ok()]
+            await registry.tell(5, target("u0", peers[0].port, state="leaving"))
+            await served_by(service, {b"1"})
+
+    play(story)
