After a delay sockets are read before what is due is decided

Shown by tests/test_handover.py on the text before: the loop runs timers before it polls, so in a process that was held up Turn._ring decided held visits with a drain, an answer or a leaving unread in its sockets. The turn of an alarm that is over 20 ms late waits for one pass now. Errand and visit no longer hold each other once the errand has ended.

--- a/ospreyline/net/turn.py
+++ b/ospreyline/net/turn.py
@@ -35,11 +35,12 @@
     from ospreyline.operator import Operator
 
 BACKSTOP = 15.0  # ms past its client timeout at which a visit that has no answer yet is answered anyhow
+LATE = 20.0  # ms that a timer is late, from which on sockets are read before what is due is decided
 STOOD = 600.0  # ms without a turn that mean that this process was stopped: three times the decisions' beat
 SETTLED = 100.0  # ms after which what waited in sockets meanwhile has been read
 FORGET = 60_000.0  # ms after which one that the list took away is forgotten
-FLEET = 64  # descriptors for links to other balancers, where they are on
 AGAIN, MOST_AGAIN = 25.0, 250.0  # ms until a pushed list's watch is opened anew: at first, and at the most
+FLEET = 64  # descriptors for links to other balancers, where they are on
 PROBE_TIME_OUTS = 2.0  # a probe may take this many times as long as connecting may
 _READINESS = {"active": Readiness.READY, "leaving": Readiness.DRAINING, "left": Readiness.GONE}
 
@@ -58,9 +59,9 @@
     def __init__(self, tag: int, request: Request, terms: PathPrefix, client: Client | None) -> None:
         self.tag = tag
         self.request = request
+        self.terms = terms  # of its path prefix when it came; after a reload its index may be another's
         self.client = client
         self.handle: Visit | None = None
-        self.terms = terms  # of its path prefix when it came; after a reload its index may be another's
         self.errands: list[Errand | None] = []
         self.came = 0.0
         self.answered = False
@@ -110,9 +111,9 @@
         # descriptors: some for the loop, the listener and discovery; half of the rest for each side
         part = (post.sockets - 32 - (FLEET if operator is not None and operator.fleet.bank else 0)) // 2
         self.most_clients = part
-        self.upstreams = Upstreams(loop, clock, part, post.connect_time_out, post.keep_idle,
         self._again, self._draw = AGAIN, Random(post.seed + 2).random
         self._pushed = False  # the list has come, or its first call has failed
+        self.upstreams = Upstreams(loop, clock, part, post.connect_time_out, post.keep_idle,
                                    post.memory // 8)
         if operator is not None:
             self._switch_on(operator)
@@ -261,7 +262,14 @@
 
     def _ring(self) -> None:
         self._alarm = None
-        if not self._scheduled:
+        if self._scheduled:
+            return
+        if self._wakes and clock() - self._wakes[0][0] > LATE:
+            # guards: timers come before sockets. After a delay what is due would be decided by what was known
+            # before it, with a drain, an answer or a leaving unread; sockets are read first
+            self._scheduled = True
+            self._loop.call_soon(self._loop.call_soon, self._turn)
+        else:
             self._turn()
 
     # -- visits -------------------------------------------------------------------------------------------
@@ -496,14 +504,6 @@
         if self._pace is not None:
             self._pace.failed(now, retry_after, told)
             self._plan()
-        self.balancer.told_nothing(now)
-
-    def _hasten(self, now: float) -> None:
-        """The list is to be asked for as if nobody told us."""
-        if self._pace is not None:
-            self._pace.hasten(now)
-            self._plan()
-
         elif not self._post.terms.ask_for_list:
             # guards: each change of a pushed list counts as told though no watch is open. To the decisions it
             # comes by itself and no call fails; their waits for a service that is asked are far too long
@@ -511,12 +511,20 @@
             self.wake(now + self._again * (0.5 + self._draw()), self._watch_again)
             self._again = min(2 * self._again, MOST_AGAIN)
             return
-    def _hinted(self, now: float, body: bytes) -> None:
-        if self._post.terms.may_tell:
+        self.balancer.told_nothing(now)
+
     def _watch_again(self, now: float) -> None:
         if not self._post.terms.ask_for_list and not self.discovery.watching:
             self.discovery.watch(True)
 
+    def _hasten(self, now: float) -> None:
+        """The list is to be asked for as if nobody told us."""
+        if self._pace is not None:
+            self._pace.hasten(now)
+            self._plan()
+
+    def _hinted(self, now: float, body: bytes) -> None:
+        if self._post.terms.may_tell:
             self.balancer.heard(now, body)
 
     def _told_by_others(self, now: float, others: Any) -> None:
@@ -539,6 +547,7 @@
             self._keeping.told(changed=True)
 
     def _told(self, now: float, news: News) -> None:
+        self._pushed, self._again = True, AGAIN
         if self._pace is not None:
             self._pace.heard(now)
         if self._keeping is not None:
@@ -547,7 +556,6 @@
             self.bank.told(news.rev, news.whole, [
                 (target.uid, target.state == "left", json.encode(target)) for target, _ in news.targets])
         lines = self._lines(news)
-        self._pushed, self._again = True, AGAIN
         if news.whole:
             self.balancer.told_all(now, lines)
         else:
--- a/ospreyline/net/upstreams.py
+++ b/ospreyline/net/upstreams.py
@@ -112,6 +112,10 @@
     return bool(look.poll(0))
 
 
+def _anybody() -> bool:
+    return True
+
+
 class Errand:
     """One request to an upstream, until it has ended."""
 
@@ -119,7 +123,7 @@
                  "timer", "wanted")
 
     def __init__(self, head: bytes, body: bytes, sent: float, time_out: float, head_only: bool,
-                 done: Callable[[Answer | Cut], None], wanted: Callable[[], bool] = lambda: True) -> None:
+                 done: Callable[[Answer | Cut], None], wanted: Callable[[], bool] = _anybody) -> None:
         self.head = head  # without the blank line at its end
         self.body = body
         self.sent = sent
@@ -138,6 +142,7 @@
         done, self.done = self.done, None
         if done is None:
             return
+        self.wanted = _anybody  # guards: visit and errand would wait for the collector together
         if self.timer is not None:
             self.timer.cancel()
         if self.peer is not None:
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import os
 from dataclasses import replace
 
 import pytest
@@ -25,6 +26,8 @@
 
 from ospreyline import facts
 from ospreyline.host import Kind
+from ospreyline.net import upstreams
+from ospreyline.net.turn import LATE, clock
 
 
 def reload(service, names, **settings):
@@ -178,3 +181,38 @@
             await served_by(service, {b"1"})
 
     play(story)
+
+
+@pytest.mark.parametrize("late", [True, False])
+def test_what_lies_unread_after_a_delay_is_read_before_what_is_due_is_decided(late, monkeypatch):
+    # a process that was held up ran its timers first, and sent to an upstream whose drain lay in its socket
+    async def story():
+        registry, peer = Registry(), Peer()
+        async with running(peer, registry=registry) as service:
+            await registry.tell(4)
+            turn, balancer, place = service.turn, service.turn.balancer, service.turn.balancer._place
+            while turn.discovery.rev != 4:
+                await asyncio.sleep(0)
+            client = await caller(service)
+            assert (await client.ask(request()))[0] == 200  # a connection stands ready now
+            monkeypatch.setattr(upstreams, "SETTLE", 0.0)
+            monkeypatch.setattr(balancer, "_place", lambda *_: False)
+            balancer._flow = 100.0
+            client.writer.write(request())
+            while not balancer._held:
+                await asyncio.sleep(0)
+            monkeypatch.setattr(balancer, "_place", place)
+            leaving = target("u0", peer.port, state="leaving")
+            line = json.dumps({"rev": 5, "targets": [leaving]}).encode() + b"\n"
+            sock = registry.writers[0].transport.get_extra_info("socket")
+            os.write(sock.fileno(), b"%x\r\n%b\r\n" % (len(line), line))  # it is in our socket now
+            turn._alarm.cancel()
+            if late:
+                turn._wakes = [(at - 10 * LATE, *more) for at, *more in turn._wakes]
+            turn._wakes.append((clock() - (10 * LATE if late else 0.0), -1, balancer._look))
+            turn._wakes.sort(key=lambda wake: wake[:2])
+            turn._ring()
+            assert (await client.answer())[0] == (503 if late else 200)
+            assert len(peer.requests) == (1 if late else 2)
+
+    play(story)
