--- a/ospreyline/net/turn.py
+++ b/ospreyline/net/turn.py
@@ -21,7 +21,7 @@
 
 from ospreyline.decide import Balancer, Visit
 from ospreyline.facts import Post
-from ospreyline.host import End, Kind, Listed, Readiness
+from ospreyline.host import End, Kind, Listed, PathPrefix, Readiness
 from ospreyline.net import discovery
 from ospreyline.net.clients import Client, Request
 from ospreyline.net.discovery import Discovery, News, Target
@@ -35,9 +35,11 @@
     from ospreyline.operator import Operator
 
 BACKSTOP = 15.0  # ms past its client timeout at which a visit that has no answer yet is answered anyhow
+LATE = 20.0  # ms that a timer is late, from which on sockets are read before what is due is decided
 STOOD = 600.0  # ms without a turn that mean that this process was stopped: three times the decisions' beat
 SETTLED = 100.0  # ms after which what waited in sockets meanwhile has been read
 FORGET = 60_000.0  # ms after which one that the list took away is forgotten
+AGAIN, MOST_AGAIN = 25.0, 250.0  # ms until a pushed list's watch is opened anew: at first, and at the most
 FLEET = 64  # descriptors for links to other balancers, where they are on
 PROBE_TIME_OUTS = 2.0  # a probe may take this many times as long as connecting may
 _READINESS = {"active": Readiness.READY, "leaving": Readiness.DRAINING, "left": Readiness.GONE}
@@ -51,19 +53,26 @@
 class Taken:
     """A visit as the front knows it: who waits for it, its handle, and the errands out for it."""
 
-    __slots__ = ("answered", "came", "client", "errands", "handle", "late", "request", "tag", "timed_out")
+    __slots__ = ("answered", "came", "client", "errands", "handle", "late", "left", "request", "tag", "terms",
+                 "timed_out")
 
-    def __init__(self, tag: int, request: Request, client: Client | None) -> None:
+    def __init__(self, tag: int, request: Request, terms: PathPrefix, client: Client | None) -> None:
         self.tag = tag
         self.request = request
+        self.terms = terms  # of its path prefix when it came; after a reload its index may be another's
         self.client = client
         self.handle: Visit | None = None
         self.errands: list[Errand | None] = []
         self.came = 0.0
         self.answered = False
+        self.left = False  # its client has, and nothing goes on without
         self.timed_out = False  # its latest errand
         self.late: asyncio.TimerHandle | None = None
 
+    def wanted(self) -> bool:
+        """Whether anybody waits for it: asked before a byte of it goes to an upstream."""
+        return not (self.answered or self.left or (self.client is not None and self.client.gone()))
+
 
 class Turn:
     """The `Host` of one balancer, and the `Door` of its clients."""
@@ -102,6 +111,8 @@
         # descriptors: some for the loop, the listener and discovery; half of the rest for each side
         part = (post.sockets - 32 - (FLEET if operator is not None and operator.fleet.bank else 0)) // 2
         self.most_clients = part
+        self._again, self._draw = AGAIN, Random(post.seed + 2).random
+        self._pushed = False  # the list has come, or its first call has failed
         self.upstreams = Upstreams(loop, clock, part, post.connect_time_out, post.keep_idle,
                                    post.memory // 8)
         if operator is not None:
@@ -251,7 +262,14 @@
 
     def _ring(self) -> None:
         self._alarm = None
-        if not self._scheduled:
+        if self._scheduled:
+            return
+        if self._wakes and clock() - self._wakes[0][0] > LATE:
+            # guards: timers come before sockets. After a delay what is due would be decided by what was known
+            # before it, with a drain, an answer or a leaving unread; sockets are read first
+            self._scheduled = True
+            self._loop.call_soon(self._loop.call_soon, self._turn)
+        else:
             self._turn()
 
     # -- visits -------------------------------------------------------------------------------------------
@@ -273,7 +291,8 @@
             return self.covering is not None and self.covering.joins(request, client)
         self._ids.add(request.trace)
         self._tags += 1
-        taken = self.visits[self._tags] = Taken(self._tags, request, client)
+        terms = self._post.terms.prefixes[request.prefix]
+        taken = self.visits[self._tags] = Taken(self._tags, request, terms, client)
         client.tag = self._tags
         self.note(self._take, taken)
         return True
@@ -281,13 +300,15 @@
     def left(self, client: Client) -> None:
         """The client of a visit has gone."""
         taken = self.visits.get(client.tag)
-        if taken is not None:
-            taken.client = None
+        if taken is not None and taken.client is client:
+            taken.client, taken.left = None, True
             self.note(self._left, taken)
 
     def ready(self) -> bool:
         """Whether a visit could be decided."""
-        return not self.closing and Readiness.READY in self._states.values()
+        # guards: what is pushed counts as told from the first moment of this process, whatever it has in hand
+        return (not self.closing and Readiness.READY in self._states.values()
+                and (self._pushed or self._post.terms.ask_for_list or self._pace is not None))
 
     def _take(self, now: float, taken: Taken) -> None:
         if taken.client is None:
@@ -295,8 +316,7 @@
             return
         self.counts["visits"] += 1
         taken.came = now
-        request = taken.request
-        terms = self._post.terms.prefixes[request.prefix]
+        request, terms = taken.request, taken.terms
         left = terms.client_timeout
         if request.time_left is not None:
             left = min(left, request.time_left)
@@ -310,10 +330,14 @@
 
     def decide(self, now: float, taken: Taken, left: float, ran: Sequence[tuple[str, int, float]]) -> None:
         """The decisions get it; `ran`: what balancers before us may have sent, as (zone, cell, ms ago)."""
-        request = taken.request
+        prefixes = self._post.terms.prefixes
+        if taken.terms not in prefixes:
+            # guards: it waited for a word over a reload, and its index is another's, or nobody's, by now
+            return self.fail(taken.tag) if ran else self.refuse(taken.tag)
         before = [(self._zones.get(zone, -1), cell, now - ago) for zone, cell, ago in ran]
         taken.errands = [None] * len(before)
-        taken.handle = self.balancer.take(now, taken.tag, request.prefix, left, request.repeat, before)
+        prefix = prefixes.index(taken.terms)
+        taken.handle = self.balancer.take(now, taken.tag, prefix, left, taken.request.repeat, before)
         if self.covering is not None and len(taken.errands) == len(before):
             self.covering.decided(now, taken)
         self._settle(taken)
@@ -321,7 +345,7 @@
     def adopt_visit(self, now: float, tag: int, request: Request, left: float,
                     ran: Sequence[tuple[str, int, float]]) -> None:
         """A visit of a balancer that is lost, for which nobody waits here."""
-        taken = self.visits[tag] = Taken(tag, request, None)
+        taken = self.visits[tag] = Taken(tag, request, self._post.terms.prefixes[request.prefix], None)
         taken.came = now
         self._ids.add(request.trace)
         taken.late = self._loop.call_later(max(0.0, left + BACKSTOP) / 1e3, self.note, self._overdue, taken)
@@ -340,8 +364,8 @@
 
     def _left(self, now: float, taken: Taken) -> None:
         if self.covering is not None and not taken.answered:
-            kind = self._post.terms.prefixes[taken.request.prefix].kind
-            if self.covering.goes_on(now, taken, kind):
+            if self.covering.goes_on(now, taken, taken.terms.kind):
+                taken.left = False
                 return
             if taken.handle is None:
                 self._drop(taken)
@@ -349,6 +373,9 @@
             self.counts["clients_left"] += not taken.answered
             taken.answered = True
             taken.handle.left(now)
+            for errand in taken.errands:
+                if errand is not None:
+                    errand.withdraw()
             self._settle(taken)
 
     def _overdue(self, now: float, taken: Taken) -> None:
@@ -417,18 +444,19 @@
 
     # -- upstreams ----------------------------------------------------------------------------------------
 
-    def _start(self, now: float, taken: Taken, number: int, upstream: int, time_out: float) -> None:
-        if self.covering is None or self.covering.may_write(now, taken, number, upstream, time_out):
-            self.write(now, taken, number, upstream, now + time_out)
+    def _start(self, now: float, taken: Taken, number: int, upstream: int, times: int,
+               time_out: float) -> None:
+        if self.covering is None or self.covering.may_write(now, taken, number, upstream, times, time_out):
+            self.write(now, taken, number, upstream, times, now + time_out)
 
-    def write(self, now: float, taken: Taken, number: int, upstream: int, until: float) -> None:
-        """A fetch goes out that may take until then."""
+    def write(self, now: float, taken: Taken, number: int, upstream: int, times: int, until: float) -> None:
+        """A fetch goes out that may take until then, to the upstream as it was when it was chosen."""
         request, time_out = taken.request, until - now
-        if time_out <= 0:
+        if time_out <= 0 or times != self.upstreams.peers[upstream].times:
             return self.note(self.ended, taken, number, Cut(Stage.CONNECTING, Why.WITHDRAWN))
         errand = taken.errands[number] = Errand(
             request.head(), request.body, now, time_out, request.method == b"HEAD",
-            lambda outcome: self.note(self.ended, taken, number, outcome))
+            lambda outcome: self.note(self.ended, taken, number, outcome), taken.wanted)
         self.upstreams.peers[upstream].run(errand, now)
 
     def _call_off(self, now: float, taken: Taken, number: int) -> None:
@@ -476,8 +504,19 @@
         if self._pace is not None:
             self._pace.failed(now, retry_after, told)
             self._plan()
+        elif not self._post.terms.ask_for_list:
+            # guards: each change of a pushed list counts as told though no watch is open. To the decisions it
+            # comes by itself and no call fails; their waits for a service that is asked are far too long
+            self._pushed = True
+            self.wake(now + self._again * (0.5 + self._draw()), self._watch_again)
+            self._again = min(2 * self._again, MOST_AGAIN)
+            return
         self.balancer.told_nothing(now)
 
+    def _watch_again(self, now: float) -> None:
+        if not self._post.terms.ask_for_list and not self.discovery.watching:
+            self.discovery.watch(True)
+
     def _hasten(self, now: float) -> None:
         """The list is to be asked for as if nobody told us."""
         if self._pace is not None:
@@ -498,7 +537,7 @@
         if news is None:
             return
         self.counts["lists_from_others"] += 1
-        self.discovery.rev = news.rev
+        self.discovery.took(news.rev)
         lines = self._lines(news)
         if news.whole:
             self.balancer.told_all(now, lines)
@@ -508,6 +547,7 @@
             self._keeping.told(changed=True)
 
     def _told(self, now: float, news: News) -> None:
+        self._pushed, self._again = True, AGAIN
         if self._pace is not None:
             self._pace.heard(now)
         if self._keeping is not None:
@@ -591,7 +631,8 @@
     def send(self, tag: int, upstream: int, time_out: float) -> None:
         taken = self.visits[tag]
         taken.errands.append(None)
-        self._to_do.append((self._start, (taken, len(taken.errands) - 1, upstream, time_out)))
+        times = self.upstreams.peers[upstream].times
+        self._to_do.append((self._start, (taken, len(taken.errands) - 1, upstream, times, time_out)))
 
     def cancel(self, tag: int, fetch: int) -> None:
         if (taken := self.visits.get(tag)) is not None:
--- a/ospreyline/net/upstreams.py
+++ b/ospreyline/net/upstreams.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import select
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum, IntEnum
@@ -21,7 +22,7 @@
 MOST_HEAD = 32_768
 MOST_ANSWER = 1 << 20  # bytes of an answer's body
 MOST_RAW = MOST_HEAD + 8 * MOST_BODY  # one message as sent: small chunks cost several times their content
-SETTLE = 2.0  # ms after an answer in which what came behind it, or its connection's end, shows
+SETTLE = 25.0  # ms after an answer in which what came behind it, or its connection's end, shows
 KEEP_SHARE = 0.8  # of the time that an upstream keeps an idle connection: ours are closed earlier
 MOST_UTIL, MOST_FIGURE = 4.0, 1e5  # of a load report
 HOP_BY_HOP = frozenset((
@@ -101,20 +102,35 @@
     return ()
 
 
+def unread(transport: asyncio.BaseTransport, what: int) -> bool:
+    """Whether bytes, or the other side's end, lie in a connection's socket that the loop has not read yet.
+
+    `what` is a mask of `select.poll`; an error counts always.
+    """
+    look = select.poll()
+    look.register(transport.get_extra_info("socket").fileno(), what)
+    return bool(look.poll(0))
+
+
+def _anybody() -> bool:
+    return True
+
+
 class Errand:
     """One request to an upstream, until it has ended."""
 
     __slots__ = ("body", "conn", "done", "expires", "head", "head_only", "opening", "peer", "sent", "stage",
-                 "timer")
+                 "timer", "wanted")
 
     def __init__(self, head: bytes, body: bytes, sent: float, time_out: float, head_only: bool,
-                 done: Callable[[Answer | Cut], None]) -> None:
+                 done: Callable[[Answer | Cut], None], wanted: Callable[[], bool] = _anybody) -> None:
         self.head = head  # without the blank line at its end
         self.body = body
         self.sent = sent
         self.expires = sent + time_out
         self.head_only = head_only
         self.done: Callable[[Answer | Cut], None] | None = done
+        self.wanted = wanted  # whether anybody waits for it still
         self.stage = Stage.CONNECTING
         self.peer: Peer | None = None
         self.conn: Conn | None = None
@@ -126,6 +142,7 @@
         done, self.done = self.done, None
         if done is None:
             return
+        self.wanted = _anybody  # guards: visit and errand would wait for the collector together
         if self.timer is not None:
             self.timer.cancel()
         if self.peer is not None:
@@ -142,11 +159,19 @@
         self.end(Cut(self.stage, why))
 
 
+    def withdraw(self) -> None:
+        """Nobody waits for it: what has not left us whole never does. That is no cancel at the upstream."""
+        if self.stage is Stage.CONNECTING or (
+                self.stage is Stage.WRITING and self.conn is not None and not self.conn.written()):
+            self.end(Cut(self.stage, Why.WITHDRAWN))
+
+
 class Conn(asyncio.Protocol):
     """One connection to an upstream; it carries one errand at a time."""
 
     def __init__(self, peer: Peer) -> None:
         self.peer = peer
+        self.times = peer.times
         self.errand: Errand | None = None
         self.transport: asyncio.Transport | None = None
         self.used = 0.0  # when its last whole answer came
@@ -218,7 +243,7 @@
         answer = self._answer
         assert answer is not None
         self.errand = errand.conn = None
-        if keep:
+        if keep and self.times == self.peer.times:  # guards: it leads to an address or a process of before
             self._raw = 0
             self._begin()
             self.peer.rest(self)
@@ -303,6 +328,7 @@
         self.at = at
         self.started = 0.0  # of its process, as the list says
         self.withdrawn = False  # the list says that it takes nothing new
+        self.times = 0  # that the list named it anew: other address, other process, or takes nothing new
         self.idle: list[Conn] = []  # last used last
         self.errands: dict[Errand, None] = {}
 
@@ -311,15 +337,17 @@
         self.errands[errand] = None
         errand.timer = self.pool.loop.call_later(
             max(0.0, errand.expires - now) / 1e3, self._expire, errand)
-        if self.withdrawn:
+        # guards: between choosing and writing the list can change, and the client can go
+        if self.withdrawn or not errand.wanted():
             errand.cut(Why.WITHDRAWN)
             return
         for conn in reversed(self.idle):
             if now - conn.used < SETTLE:
                 continue  # guards: a second answer behind the last one would be taken for this one's
             self.idle.remove(conn)
+            # guards: an end, or a second answer, that has come and was not read yet would be this one's
             if conn.transport is not None and not conn.transport.is_closing() \
-                    and now - conn.used < self.pool.keep_idle:
+                    and now - conn.used < self.pool.keep_idle and not unread(conn.transport, select.POLLIN):
                 conn.start(errand, now)
                 return
             conn.close()
@@ -335,7 +363,7 @@
         pool.open[conn] = None
         try:
             async with asyncio.timeout(pool.connect_time_out / 1e3):
-                await pool.loop.create_connection(lambda: conn, *self.at)
+                await self._connect(conn)
         except TimeoutError:
             errand.opening = None
             errand.cut(Why.NO_CONNECTION)
@@ -349,12 +377,17 @@
             elif pool.clock() >= errand.expires:
                 # guards: after this process stood still its connection shows before its time-out does
                 errand.cut(Why.NO_CONNECTION)
+            elif not errand.wanted():
+                errand.cut(Why.WITHDRAWN)  # guards: its client left while its connection came up
             elif errand.done is not None:
                 conn.start(errand, pool.clock())
         finally:
             if conn.errand is None:
                 conn.close()
 
+    async def _connect(self, conn: Conn) -> None:
+        await self.pool.loop.create_connection(lambda: conn, *self.at)
+
     def _expire(self, errand: Errand) -> None:
         if errand.stage is Stage.WRITTEN:
             # guards: an upstream that was cut off says nothing. Connections that have not answered since
@@ -377,14 +410,22 @@
         for conn in [c for c in self.idle if c.used <= before]:
             conn.close()
 
-    def withdraw(self) -> None:
-        """The list says that it takes nothing new: what is not yet written goes no more."""
-        self.withdrawn = True
+    def renew(self) -> None:
+        """The list names it anew: what leads to what it was is not used again, nor written to.
+
+        Guards: a fetch that was chosen for the former address or process would be written there, or to one
+        that is cold now; one that waits for its connection could leave later than the grace after a drain.
+        """
+        self.times += 1
         self.drop_idle()
-        # guards: a send that waits for its connection could leave later than the grace after a drain
         for errand in [e for e in self.errands if e.stage is Stage.CONNECTING]:
             errand.cut(Why.WITHDRAWN)
 
+    def withdraw(self) -> None:
+        """The list says that it takes nothing new."""
+        self.withdrawn = True
+        self.renew()
+
 
 class Upstreams:
     """All upstreams, by the small index that the front gave them, and the descriptors they may use."""
@@ -415,7 +456,7 @@
         """What the list says of one now."""
         peer = self.peers[upstream]
         if at != peer.at or started != peer.started:
-            peer.drop_idle()  # another address or process
+            peer.renew()
         peer.at, peer.started, peer.withdrawn = at, started, not ready
         if not ready:
             peer.withdraw()
--- /dev/null
+++ b/tests/test_handover.py
@@ -0,0 +1,218 @@
+"""A reload over what was read under the settings before it, and a list that is pushed."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+from dataclasses import replace
+
+import pytest
+from stand_ins import (
+    RESET,
+    FakeHost,
+    Peer,
+    Registry,
+    caller,
+    configuration,
+    listed,
+    ok,
+    request,
+    running,
+    target,
+)
+from test_clients import play
+from test_lists import served_by
+
+from ospreyline import facts
+from ospreyline.host import Kind
+from ospreyline.net import upstreams
+from ospreyline.net.turn import LATE, clock
+
+
+def reload(service, names, **settings):
+    """Settings with just these path prefixes, in this order."""
+    told = configuration([])
+    settings_now = told["settings"]
+    by_name = {p["Name"]: p for p in settings_now["PathPrefixes"]}
+    settings_now["PathPrefixes"] = [by_name[name] | settings.get(name, {}) for name in names]
+    service.reload(lambda: (facts.post(json.dumps(told).encode(), {}), None))
+
+
+class Waits:
+    """In place of takeover: every visit waits for a word before the decisions have it."""
+
+    def __init__(self) -> None:
+        self.kinds: list[Kind] = []
+        self.waiting: list = []
+
+    def begins(self, now, taken, left, kind):
+        self.waiting.append((taken, left))
+        return False
+
+    def goes_on(self, now, taken, kind):
+        self.kinds.append(kind)
+        return False
+
+    def counts(self):
+        return {}
+
+    def __getattr__(self, name):
+        return lambda *_: name.startswith("may")
+
+
+@pytest.mark.parametrize("ran", [False, True])
+@pytest.mark.parametrize(("names", "changes", "status"), [
+    (["change", "tag", "read"], {}, 200),  # another place, the same terms
+    (["change", "tag"], {}, 503),  # its place is nobody's, or another's
+    (["change"], {}, 503),
+    (["read", "tag", "change"], {"read": {"Semantics": "once"}}, 503),  # another promise under its name
+])
+def test_a_visit_that_waited_over_a_reload_is_never_decided_as_another_class(names, changes, status, ran):
+    async def story():
+        peer = Peer()
+        async with running(peer) as service:
+            service.turn.covering = waits = Waits()
+            client = await caller(service)
+            client.writer.write(request())
+            while not waits.waiting:
+                await asyncio.sleep(0)
+            reload(service, names, **changes)
+            (taken, left), turn = waits.waiting[0], service.turn
+            turn.note(turn.decide, taken, left, [("a", 0, 5.0)] if ran else [])
+            got = (await client.answer())[0]
+            # one that may have run is never said to be harmless to repeat
+            assert got == (502 if ran and status == 503 else status) and len(peer.requests) == (got == 200)
+            if got == 200:
+                assert taken.handle.lane.kind is Kind.READ_LIKE
+            assert not turn.counts["faults"] and not turn.visits
+
+    play(story)
+
+
+@pytest.mark.parametrize("names", [["change", "tag", "read"], ["tag"]])
+def test_a_client_that_leaves_after_a_reload_leaves_what_it_asked_for(names):
+    # its index named another class by then, or none: a fault in the turn, and the visit stayed for good
+    async def story():
+        async with running(Peer()) as service:
+            service.turn.covering = waits = Waits()
+            client = await caller(service)
+            client.writer.write(request("/change", "POST", b"x"))
+            while not waits.waiting:
+                await asyncio.sleep(0)
+            reload(service, names)
+            client.writer.close()
+            while service.turn.visits:
+                await asyncio.sleep(0)
+            assert waits.kinds == [Kind.MUTATING] and not service.turn.counts["faults"]
+
+    play(story)
+
+
+def test_a_load_read_under_other_fields_counts_no_more():
+    host = FakeHost([listed(i) for i in range(3)], report_fields=("queue",))
+    u = host.balancer._upstreams[0]
+    host.balancer._take_report(u, host.now, (30.0,))
+    host.balancer._rank(host.now)
+    assert host.balancer._mean_report == 30.0
+    terms = replace(host.balancer._terms, report_fields=("util",))
+    host.balancer.set_terms(host.now, terms)
+    host.balancer._rank(host.now)
+    assert host.balancer._mean_report == 0.0
+    host.balancer._take_report(u, host.now, (0.5,))
+    host.balancer.set_terms(host.now, terms)  # and the same again leaves it
+    host.balancer._rank(host.now)
+    assert host.balancer._mean_report == 0.5
+
+
+def pushed(service, registry):
+    told = configuration([], registry.port)
+    told["settings"]["Discovery"] = "push"
+    service.reload(lambda: (facts.post(json.dumps(told).encode(), {}), None))
+
+
+async def ready(service):
+    _, head, _ = await (await caller(service)).ask(b"GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n")
+    return b" 200 " in head
+
+
+@pytest.mark.parametrize("first", ["list", "failure"])
+def test_a_pushed_list_is_awaited_before_a_balancer_is_ready(first):
+    # what the agent has counts as told from the first moment of a process; it served from what it had kept
+    async def story():
+        registry = Registry()
+        registry.answers = [RESET] if first == "failure" else registry.answers
+        await registry.start()
+        peer = await Peer().start()
+        async with running(registry=registry, known=[target("u0", peer.port)], Discovery="push") as service:
+            assert not await ready(service)
+            if first == "list":
+                await registry.tell(4, target("u0", peer.port))
+            while not await ready(service):  # an agent that cannot be reached tells nothing
+                pass
+            assert service.turn._pushed
+
+    play(story)
+
+
+def test_a_pushed_lists_watch_is_opened_anew_at_once_and_more_slowly_while_that_fails():
+    async def story():
+        registry, peers = Registry(), (Peer(ok(b"0")), Peer(ok(b"1")))
+        async with running(*peers, registry=registry, Discovery="push") as service:
+            await registry.tell(4)
+            loop, waits, wake = asyncio.get_running_loop(), [], service.turn.wake
+            while service.turn.discovery.rev != 4:
+                await asyncio.sleep(0)
+
+            def noted(at, call):
+                if call == service.turn._watch_again:
+                    waits.append(at - service.turn._turned)
+                wake(at, call)
+
+            service.turn.wake = noted
+            registry.answers = [RESET]
+            registry.writers[0].close()
+            began = loop.time()
+            await registry.until(lambda: len(registry.requests) > 6)
+            assert loop.time() - began < 4  # the decisions' waits alone come to 12 s
+            assert waits[0] < 40 and all(wait <= 375 for wait in waits) and max(waits) > 80
+            registry.answers = [ok()]
+            await registry.tell(5, target("u0", peers[0].port, state="leaving"))
+            await served_by(service, {b"1"})
+
+    play(story)
+
+
+@pytest.mark.parametrize("late", [True, False])
+def test_what_lies_unread_after_a_delay_is_read_before_what_is_due_is_decided(late, monkeypatch):
+    # a process that was held up ran its timers first, and sent to an upstream whose drain lay in its socket
+    async def story():
+        registry, peer = Registry(), Peer()
+        async with running(peer, registry=registry) as service:
+            await registry.tell(4)
+            turn, balancer, place = service.turn, service.turn.balancer, service.turn.balancer._place
+            while turn.discovery.rev != 4:
+                await asyncio.sleep(0)
+            client = await caller(service)
+            assert (await client.ask(request()))[0] == 200  # a connection stands ready now
+            monkeypatch.setattr(upstreams, "SETTLE", 0.0)
+            monkeypatch.setattr(balancer, "_place", lambda *_: False)
+            balancer._flow = 100.0
+            client.writer.write(request())
+            while not balancer._held:
+                await asyncio.sleep(0)
+            monkeypatch.setattr(balancer, "_place", place)
+            leaving = target("u0", peer.port, state="leaving")
+            line = json.dumps({"rev": 5, "targets": [leaving]}).encode() + b"\n"
+            sock = registry.writers[0].transport.get_extra_info("socket")
+            os.write(sock.fileno(), b"%x\r\n%b\r\n" % (len(line), line))  # it is in our socket now
+            turn._alarm.cancel()
+            if late:
+                turn._wakes = [(at - 10 * LATE, *more) for at, *more in turn._wakes]
+            turn._wakes.append((clock() - (10 * LATE if late else 0.0), -1, balancer._look))
+            turn._wakes.sort(key=lambda wake: wake[:2])
+            turn._ring()
+            assert (await client.answer())[0] == (503 if late else 200)
+            assert len(peer.requests) == (1 if late else 2)
+
+    play(story)
