A silent watch is told sooner, and a move ends the waits of the former address

Shown by tests/test_lists.py on the text before. After a move of discovery decide's wait, grown while the former address failed (up to 12 s), was that of the first call there, and a wait that was running replaced that call.

Change: a watch is dead after 2.5 s without a whole line (an empty one is due every 2 s); Turn.move begins the waits anew. Two calls turned away in a row can still pass 6 s: docs/crossings.md.

--- a/ospreyline/net/discovery.py
+++ b/ospreyline/net/discovery.py
@@ -18,7 +18,9 @@
 
 from ospreyline import facts
 
-QUIET = 3.0  # s without a whole line after which a watch is dead: an empty one is due every 2 s
+# s without a whole line after which a watch is dead: an empty one is due every 2 s, and what is missed counts
+# as told 6 s after the last, which has to be enough for a call that is turned away and another
+QUIET = 2.5
 MOST_CALL = 10.0  # s that a call for the whole list may take in all
 MOST_LINE = 8 << 20
 _TEXT = re.compile(rb'"(?:[^"\\]|\\.)*"')  # of JSON; it holds no line's end
--- a/ospreyline/net/service.py
+++ b/ospreyline/net/service.py
@@ -89,7 +89,7 @@
             self._operator = operator
         self._log.info("reloaded", discovery="{}:{}".format(*new.discovery), moved=moved, settings=settings)
         if moved:
-            self.turn.discovery.move(new.discovery)
+            self.turn.move(new.discovery)
 
     async def stop(self) -> None:
         """Finish what was taken; new connections are accepted for a while yet, and kept ones used."""
--- a/ospreyline/net/turn.py
+++ b/ospreyline/net/turn.py
@@ -206,6 +206,13 @@
                 self._pace.failed(clock())
             self._plan()
 
+    def move(self, at: tuple[str, int]) -> None:
+        """The list service is elsewhere now: it is called there at once."""
+        self.discovery.move(at)
+        # guards: a wait that had grown while the former address failed would be that of the first call there,
+        # and one that was running would replace that call, which loses its place in the queue
+        self.balancer.told_changes(clock(), [])
+
     # -- the turn -----------------------------------------------------------------------------------------
 
     def note(self, call: Callable[..., None], *args: Any) -> None:
--- a/tests/test_lists.py
+++ b/tests/test_lists.py
@@ -6,11 +6,13 @@
 import json
 
 import pytest
-from stand_ins import Peer, Registry, caller, ok, request, running, target
+from stand_ins import RESET, FakeHost, Peer, Registry, caller, listed, ok, request, running, target
 from test_clients import play
 from test_service import moved
 
 from ospreyline.net import discovery
+from ospreyline.net import service as service_module
+from ospreyline.net.turn import clock
 
 END = b"0\r\n\r\n"
 
@@ -183,6 +185,52 @@
     play(story)
 
 
+@pytest.mark.parametrize("first", ["fails", "waits"])
+def test_after_a_move_the_waits_of_the_former_address_are_over(first):
+    # the former address had failed for long: the first call at the new one inherited its wait, of up to 12 s
+    async def story():
+        old, new = Registry(), Registry()
+        for registry in (old, new):
+            registry.answers = [RESET]
+            await registry.start()
+        async with running(Peer(), registry=old) as service:
+            balancer = service.turn.balancer
+            await old.until(lambda: bool(old.requests))
+            while balancer._ask_wait == 500.0:  # its failure has been told
+                await asyncio.sleep(0)
+            balancer._ask_wait, balancer._must_ask_in = 8_000.0, 1e9
+            if first == "waits":
+                new.answers, balancer._ask_at = [ok()], 0.0  # the next beat would ask
+            moved(service, new)
+            if first == "fails":
+                await asyncio.wait_for(new.until(lambda: len(new.requests) > 1), 3)
+            else:
+                await new.until(lambda: bool(new.writers))
+                call = service.turn.discovery._watch
+                balancer._beat(clock())
+                service.turn._turn()
+                assert service.turn.discovery._watch is call is not None
+
+    play(story)
+
+
+def test_a_silent_watch_leaves_time_for_a_call_that_is_turned_away():
+    # what is missed counts as told 6 s after the silence began; a call that waits in a queue has 1 s here
+    for seed in range(200):
+        host = FakeHost([listed(0)], ask_for_list=True, seed=seed)
+        host.balancer.told_changes(host.now, [])
+        silent = host.now
+        host.pass_time(1e3 * (discovery.QUIET + service_module.TIDY))
+        for _ in range(2):
+            host.watches.clear()
+            host.balancer.told_nothing(host.now)
+            while not host.watches:
+                host.pass_time(10.0)
+            called = host.now - silent
+            host.pass_time(1_000.0)
+        assert called < 6_500.0  # with half a second's grace of a drain
+
+
 def test_a_watch_that_is_replaced_is_heard_until_the_new_one_has_spoken():
     async def story():
         registry, peers = Registry(), (Peer(ok(b"0")), Peer(ok(b"1")))
