A client that is joined to its visit as its first connection ends keeps it (takeover)

Shown by tests/test_handover.py on the text before: Turn.left notes the ending, Covering.joins gives the visit to the new connection at once, and the noted Turn._left then closed it: the one that asked again had no answer. A leaving counts only while nobody was joined since. A connection that we are closing counts as read to its end (net.upstreams.unread), so that no descriptor is looked at that another connection may have by then.

--- a/ospreyline/net/clients.py
+++ b/ospreyline/net/clients.py
@@ -324,8 +324,7 @@
         """Whether its client has gone, even if that still lies unread in the socket."""
         # guards: timers and turns come before sockets are read; after a long one, or once this process was
         # stopped, a request would go on whose client left long ago
-        return self.transport is None or self.transport.is_closing() or unread(
-            self.transport, select.POLLRDHUP)
+        return self.transport is None or unread(self.transport, select.POLLRDHUP)
 
     def eof_received(self) -> bool:
         self._gone()
--- a/ospreyline/net/covering.py
+++ b/ospreyline/net/covering.py
@@ -69,7 +69,7 @@
                 if taken.client is not None:
                     taken.client.out = None
                     taken.client.drop()
-                taken.client, client.tag = client, taken.tag
+                taken.client, taken.left, client.tag = client, False, taken.tag
                 self._turn.counts["joined"] += 1
                 return True
         return False
--- a/ospreyline/net/turn.py
+++ b/ospreyline/net/turn.py
@@ -370,6 +370,8 @@
         self._settle(taken)
 
     def _left(self, now: float, taken: Taken) -> None:
+        if not taken.left:
+            return  # guards: another connection of its client has been joined to it since
         if self.covering is not None and not taken.answered:
             if self.covering.goes_on(now, taken, taken.terms.kind):
                 taken.left = False
--- a/ospreyline/net/upstreams.py
+++ b/ospreyline/net/upstreams.py
@@ -105,8 +105,10 @@
 def unread(transport: asyncio.BaseTransport, what: int) -> bool:
     """Whether bytes, or the other side's end, lie in a connection's socket that the loop has not read yet.
 
-    `what` is a mask of `select.poll`; an error counts always.
+    `what` is a mask of `select.poll`; an error counts always, and so does a connection that we are closing.
     """
+    if transport.is_closing():
+        return True
     look = select.poll()
     look.register(transport.get_extra_info("socket").fileno(), what)
     return bool(look.poll(0))
@@ -346,8 +348,8 @@
                 continue  # guards: a second answer behind the last one would be taken for this one's
             self.idle.remove(conn)
             # guards: an end, or a second answer, that has come and was not read yet would be this one's
-            if conn.transport is not None and not conn.transport.is_closing() \
-                    and now - conn.used < self.pool.keep_idle and not unread(conn.transport, select.POLLIN):
+            if conn.transport is not None and now - conn.used < self.pool.keep_idle \
+                    and not unread(conn.transport, select.POLLIN):
                 conn.start(errand, now)
                 return
             conn.close()
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -6,10 +6,12 @@
 import json
 import os
 from dataclasses import replace
+from types import SimpleNamespace
 
 import pytest
 from stand_ins import (
     RESET,
+    SILENT,
     FakeHost,
     Peer,
     Registry,
@@ -27,6 +29,7 @@
 from ospreyline import facts
 from ospreyline.host import Kind
 from ospreyline.net import upstreams
+from ospreyline.net.covering import Covering
 from ospreyline.net.turn import LATE, clock
 
 
@@ -109,6 +112,29 @@
     play(story)
 
 
+def test_a_client_that_is_joined_to_its_visit_in_the_pass_in_which_its_first_connection_ends_is_answered():
+    # the ending was noted, the joining was done at once, and then the visit was closed for the ending
+    async def story():
+        peer = Peer(SILENT)
+        async with running(peer) as service:
+            turn, first = service.turn, await caller(service)
+            first.writer.write(request("/change", "POST", b"x"))
+            await peer.until(lambda: bool(peer.requests))
+            (old,) = service.clients.open
+            second = await caller(service)
+            while len(service.clients.open) < 2:
+                await asyncio.sleep(0)
+            new = next(client for client in service.clients.open if client is not old)
+            again = replace(old.out, asks=True)
+            old._gone()  # its end is read, and no turn has been since
+            new.out = again
+            assert Covering.joins(SimpleNamespace(_turn=turn), again, new)
+            peer.writers[0].write(ok(b"once"))
+            assert (await second.answer())[2] == b"once" and len(peer.requests) == 1
+
+    play(story)
+
+
 def test_a_load_read_under_other_fields_counts_no_more():
     host = FakeHost([listed(i) for i in range(3)], report_fields=("queue",))
     u = host.balancer._upstreams[0]
