--- a/ospreyline/regression.py
+++ b/ospreyline/regression.py
@@ -77,6 +77,8 @@
         if self.cmd != "real-score":
             return ""
         days = self.panel.rpartition(":quick")[0] or self.panel
+        if "+brink" in days:
+            return f"brink, {self.site}"
         kind = "standing" if "+mass" in days else "in service" if "churn" in days else "sockets, older days"
         return f"{kind}, {self.site}, {'quick' if self.panel.endswith(':quick') else 'full'}"
 
@@ -107,7 +109,8 @@
             return "gate " + self.last.gate
         if not self.last.ok:
             return self.last.error or "the run is void"
-        if self.change is not None and self.change < -FALL:
+        # guards: each seed of brink is other days, of which the rules count and no figure
+        if not self.call.startswith("brink") and self.change is not None and self.change < -FALL:
             return f"fell by {-self.change:.3f}"
         return ""
 
@@ -145,7 +148,8 @@
     out = []
     for call in sorted(calls):
         *earlier, last = calls[call]
-        before = next((e for e in reversed(earlier) if e.figure is not None), None)
+        before = next((e for e in reversed(earlier) if e.figure is not None
+                       and (not call.startswith("brink") or e.panel == last.panel)), None)
         out.append(Standing(call, last, before, all(
             today.get(text.path) == text.sha256 for text in (*last.policy, *last.node))))
     return out
--- a/tests/test_regression.py
+++ b/tests/test_regression.py
@@ -66,6 +66,21 @@
         ("standing, s, quick", "b")]
 
 
+def test_brink_is_no_standing_test_and_other_seeds_are_other_days(journal):
+    # its figure stood as the standing test's, and another seed's as a fall
+    brink = "real:s:{}:calm+brink+mass-1,roll+brink+mass-2"
+    entry(journal, "a", "2026-01-01T00:00:00Z")
+    for i, (seed, figure) in enumerate([(1, 0.8), (2, 0.9), (1, 0.7)]):
+        entry(journal, f"b{i}", f"2026-01-02T00:00:0{i}Z", panel=brink.format(seed), figure=figure)
+    found = {s.call: s for s in state_of(journal)}
+    assert set(found) == {"standing, s, full", "brink, s"} and found["standing, s, full"].last.id == "a"
+    assert found["brink, s"].change == pytest.approx(-0.1) and not found["brink, s"].trouble
+    entry(journal, "c", "2026-01-03T00:00:00Z", panel=brink.format(3), figure=0.1,
+          digest=GATE.format("failed: lost on roll+brink"))
+    found = {s.call: s for s in state_of(journal)}
+    assert found["brink, s"].change is None and found["brink, s"].trouble.startswith("gate failed")
+
+
 def test_a_text_that_has_changed_since_is_said(journal):
     entry(journal, "a", "2026-01-01T00:00:00Z", ok=False, error="x")
     assert state_of(journal)[0].same_text
