--- a/ospreyline/net/discovery.py
+++ b/ospreyline/net/discovery.py
@@ -298,7 +298,8 @@
                 self.rev, self._whole_due = 0, True
                 call.stop("it counts anew")
                 return
-        self._whole_due = self._whole_due and not news.whole
+        if news.whole or not call.watching:
+            self._whole_due = False  # a plain call is told all that there is, whatever it says of itself
         self.rev = news.rev
         for other in self._calls:
             if other is not call:
