--- a/ospreyline/net/turn.py
+++ b/ospreyline/net/turn.py
@@ -337,14 +337,15 @@
 
     def decide(self, now: float, taken: Taken, left: float, ran: Sequence[tuple[str, int, float]]) -> None:
         """The decisions get it; `ran`: what balancers before us may have sent, as (zone, cell, ms ago)."""
-        prefixes = self._post.terms.prefixes
-        if taken.terms not in prefixes:
+        try:
+            prefix = self._post.terms.prefixes.index(taken.terms)
+        except ValueError:
             # guards: it waited for a word over a reload, and its index is another's, or nobody's, by now
             return self.fail(taken.tag) if ran else self.refuse(taken.tag)
+        request = taken.request
         before = [(self._zones.get(zone, -1), cell, now - ago) for zone, cell, ago in ran]
         taken.errands = [None] * len(before)
-        prefix = prefixes.index(taken.terms)
-        taken.handle = self.balancer.take(now, taken.tag, prefix, left, taken.request.repeat, before)
+        taken.handle = self.balancer.take(now, taken.tag, prefix, left, request.repeat, before)
         if self.covering is not None and len(taken.errands) == len(before):
             self.covering.decided(now, taken)
         self._settle(taken)
