--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -242,3 +242,34 @@
             assert len(peer.requests) == (1 if late else 2)
 
     play(story)
+
+
+def test_a_key_that_a_new_file_leaves_out_has_its_default_and_not_the_last_files():
+    async def story():
+        async with running(Peer(), Cancel=True, MostBackendFetches=5, KeepaliveUs=7_000_000) as service:
+            assert service.turn._post.terms.may_cancel and service.turn.upstreams.keep_idle == 0.8 * 7_000
+            told = configuration([])
+            del told["settings"]["Caps"], told["settings"]["Dcs"]
+            service.reload(lambda: (facts.post(json.dumps(told).encode(), {}), None))
+            terms = service.turn._post.terms
+            assert not terms.may_cancel and terms.max_fetches == 1 and terms.zones == 1
+            assert service.turn.upstreams.keep_idle == 0.8 * 15_000
+
+    play(story)
+
+
+def test_visits_of_two_tenants_with_one_key_do_not_meet():
+    async def story():
+        peers = Peer(SILENT), Peer(SILENT)
+        async with running(*peers) as service:
+            callers = [await caller(service) for _ in range(2)]
+            for name, client in zip("ab", callers, strict=True):
+                client.writer.write(request("/tag", "POST", b"x", Idempotency_Key="5c0f", X_Customer=name))
+            while sum(len(peer.requests) for peer in peers) < 2:
+                await asyncio.sleep(0)
+            for peer in peers:
+                for writer, (head, _) in zip(peer.writers, peer.requests, strict=True):
+                    writer.write(ok(head[head.index(b"X-Customer: ") + 12:][:1]))
+            assert [(await client.answer())[2] for client in callers] == [b"a", b"b"]
+
+    play(story)
--- a/tests/test_left.py
+++ b/tests/test_left.py
@@ -223,3 +223,26 @@
             assert service.turn.counts["unsent"] + service.turn.counts["cancelled"] == 1
 
     play(story)
+
+
+def test_one_that_left_in_the_pass_in_which_it_came_is_not_taken():
+    async def story():
+        peer = Peer()
+        async with running(peer) as service:
+            turn, real, met = service.turn, service.turn.take, []
+
+            def take(asked, client):
+                taken = real(asked, client)
+                turn.left(client)  # both are noted when the turn begins
+                met.append(client)
+                return taken
+
+            turn.take = take
+            client = await caller(service)
+            client.writer.write(request())
+            while not met:
+                await asyncio.sleep(0)
+            await passes()
+            assert not peer.requests and not turn.visits and not turn.counts["faults"]
+
+    play(story)
--- a/tests/test_reuse.py
+++ b/tests/test_reuse.py
@@ -175,3 +175,26 @@
             assert all(written)
 
     play(story)
+
+
+@pytest.mark.parametrize("first", ["connection", "time-out"])
+def test_a_connection_that_comes_up_after_its_fetchs_time_is_not_written_on(first, monkeypatch):
+    async def story():
+        gate = await Gate().held(asyncio.get_running_loop(), monkeypatch)
+        async with running(known=[target("u0", gate.port)], ConnectTimeoutUs=4_000_000) as service:
+            client = await caller(service)
+            client.writer.write(request("/change", "POST", b"x", X_Expires_In="0.2"))
+            await asyncio.wait_for(gate.connecting.wait(), 5)
+            if first == "connection":
+                gate.open.set()
+                while not gate.got:
+                    await asyncio.sleep(0)
+            status, _, _ = await client.answer()
+            gate.open.set()
+            for _ in range(20):
+                await asyncio.sleep(0)
+            # written, it may have run; never written, it is bounced
+            assert status == (504 if first == "connection" else 503)
+            assert bool(gate.got) is (first == "connection")
+
+    play(story)
