KNOWN-RED.txt: listed failures are expected strictly, printed, and judged

A test that fails for a real fault may be listed, one line each, three at most. The plugin in tests/conftest.py expects each to fail (strict) and prints its cause and how it failed. Red: a fourth line, a malformed one, a name twice, a listed test that passes, is skipped or breaks in its teardown, and in a run of all tests a name that matches none. A name is a whole id, or a test without its parameters, for all of them.

The file itself is absent: nothing is listed.

--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,125 @@
+"""Known failures: tests that fail for a real fault which is not mended yet, named in KNOWN-RED.txt.
+
+The file lies at the root; without it, or with comments alone, nothing changes here. A line each, three at
+the most; `#` begins a comment line:
+
+    tests/test_x.py::test_name | the cause in plain words | issue number
+
+A name is the whole id of a test (with its parameters), or that of a test without its parameters, which then
+stands for every one of them. Each is expected to fail, and printed with its cause and how it failed. Red are:
+a fourth line, a malformed one, a name twice, a listed test that passes or is skipped, and, in a run of all
+tests, a name that matches none. In a run of some tests (files, `-k`, `-m`) names that none has are let be.
+"""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+FILE = "KNOWN-RED.txt"
+MOST = 3  # lines
+KNOWN = "failed as known"
+LINE = re.compile(r"(?P<name>[^|\s]+\.py::[^|]*[^|\s]) \| (?P<cause>[^|\s][^|]*) \| (?P<issue>\d+)")
+# options that leave tests out, or end a run early
+SELECTING = ("keyword", "markexpr", "deselect", "ignore", "ignore_glob", "lf", "stepwise", "maxfail",
+             "collectonly")
+
+
+@dataclass
+class Line:
+    """One test that is known to fail."""
+
+    name: str
+    cause: str
+    issue: str
+    met: dict[str, str] = field(default_factory=dict)  # by whole id: how it ended
+
+    def names(self, nodeid: str) -> bool:
+        return self.name in (nodeid, nodeid.partition("[")[0])
+
+
+def read(path: Path) -> list[Line]:
+    """The lines of the file; raises `pytest.UsageError` where it is not as it has to be."""
+    if not path.exists():
+        return []
+    lines: list[Line] = []
+    for number, text in enumerate(path.read_text().splitlines(), 1):
+        if not text.strip() or text.startswith("#"):
+            continue
+        found = LINE.fullmatch(text.strip())
+        if found is None:
+            raise pytest.UsageError(f"{FILE}, line {number}: is not `test id | cause | issue number`")
+        if any(line.name == found["name"] for line in lines):
+            raise pytest.UsageError(f"{FILE}, line {number}: {found['name']} is there twice")
+        lines.append(Line(**found.groupdict()))
+    if len(lines) > MOST:
+        raise pytest.UsageError(f"{FILE}: {len(lines)} lines, {MOST} are the most")
+    return lines
+
+
+class KnownRed:
+    """Expects the listed tests to fail, and judges what became of them."""
+
+    def __init__(self, config: pytest.Config, lines: list[Line]) -> None:
+        self.config, self.lines = config, lines
+        self.problems: list[str] = []
+        self.judges = not hasattr(config, "workerinput")  # the process that hears of every test
+
+    def _whole(self) -> bool:
+        """Whether this is a run of all tests."""
+        config = self.config
+        root = config.rootpath
+        wanted = {(root / path).resolve() for path in config.getini("testpaths") or ["."]}
+        given = {(config.invocation_params.dir / arg).resolve() for arg in config.args if "::" not in arg}
+        return wanted <= given and not any(config.getoption(name, None) for name in SELECTING)
+
+    def pytest_collection_modifyitems(self, items: list[pytest.Item]) -> None:
+        for item in items:
+            for line in self.lines:
+                if line.names(item.nodeid):
+                    reason = f"{line.cause} (issue {line.issue})"
+                    item.add_marker(pytest.mark.xfail(reason=reason, strict=True), append=False)
+
+    def pytest_runtest_logreport(self, report: pytest.TestReport) -> None:
+        for line in self.lines:
+            if line.names(report.nodeid) and (report.when == "call" or not report.passed):
+                if report.failed or report.when == "teardown":
+                    how = "passed or broke otherwise"
+                elif not hasattr(report, "wasxfail"):
+                    how = "is skipped"
+                else:
+                    crash = getattr(report.longrepr, "reprcrash", None)
+                    how = f"{KNOWN}: {str(crash.message if crash else '').partition(chr(10))[0]}"
+                line.met[report.nodeid] = how
+
+    def pytest_sessionfinish(self, session: pytest.Session) -> None:
+        if not self.judges:
+            return
+        for line in self.lines:
+            if not line.met and self._whole():
+                self.problems.append(f"{line.name} matches no test")
+            self.problems += [f"{id_} {how}" for id_, how in line.met.items() if not how.startswith(KNOWN)]
+        if self.problems and session.exitstatus in (pytest.ExitCode.OK, pytest.ExitCode.NO_TESTS_COLLECTED):
+            session.exitstatus = pytest.ExitCode.TESTS_FAILED
+
+    def pytest_terminal_summary(self, terminalreporter: Any) -> None:
+        if not self.judges or not self.lines:
+            return
+        terminalreporter.section(f"known red, {FILE}")
+        for text in self._summary():
+            terminalreporter.line(text)
+
+    def _summary(self) -> Iterator[str]:
+        for line in self.lines:
+            yield f"{line.name}: {line.cause} (issue {line.issue})"
+            yield from (f"  {id_} {how}" for id_, how in line.met.items())
+        yield from (f"RED: {problem}" for problem in self.problems)
+
+
+def pytest_configure(config: pytest.Config) -> None:
+    config.pluginmanager.register(KnownRed(config, read(config.rootpath / FILE)), "known-red")
