Switch under load: the story's own breaks had taken every fetch that a visit may have

There and back under load was red now and then: one read-like visit rejected. The visit's three fetches, all that MostBackendFetches allows, went to the three stand-ins and each broke off (every 11th, 13th and 17th answer does); it was rejected 11 to 14 ms after it came. Ruled out: room was not short (predicted 65 to 170 ms, patience 301 to 450), nothing was held, no upstream counted as failing, no lateness had a part. To reject it is right: a fourth fetch is not allowed. So the story counted what the program has to do.

The stand-ins now break off at most two fetches of one visit, so every read-like visit can be answered, and each has to be: no rejection is let pass. What the story met by chance is forced in one of its own: a read-like visit whose every fetch breaks off has three fetches at three upstreams, then one rejection with Retry-After.

--- a/tests/test_switch.py
+++ b/tests/test_switch.py
@@ -8,6 +8,7 @@
 
 import pytest
 from stand_ins import (
+    RESET,
     FakeHost,
     Peer,
     Registry,
@@ -25,13 +26,19 @@
 from ospreyline.host import End, Kind, Scope
 from ospreyline.net.service import Service
 
+FETCHES = 3  # that `configuration` allows a visit
+
 
 class Ledger(Peer):
-    """Works for some milliseconds; `gate` holds its answers back, each `spoilt`th breaks off."""
+    """Works for some milliseconds; `gate` holds its answers back, each `spoilt`th breaks off.
+
+    `broken` counts those by visit, over all that share it: the last fetch that one may have never breaks off.
+    """
 
-    def __init__(self, spoilt: int = 0) -> None:
+    def __init__(self, spoilt: int = 0, broken: Counter[bytes] | None = None) -> None:
         super().__init__()
         self.spoilt = spoilt
+        self.broken = Counter[bytes]() if broken is None else broken
         self.gate = asyncio.Event()
         self.gate.set()
 
@@ -44,7 +51,9 @@
                 self.changed.set()
                 await asyncio.sleep(0.003)
                 await self.gate.wait()
-                if self.spoilt and len(self.requests) % self.spoilt == 0:
+                if self.spoilt and len(self.requests) % self.spoilt == 0 \
+                        and self.broken[trace(head)] < FETCHES - 1:
+                    self.broken[trace(head)] += 1
                     return writer.transport.abort()
                 writer.write(ok())
         except (asyncio.IncompleteReadError, ConnectionError):
@@ -54,6 +63,11 @@
             writer.close()
 
 
+def trace(head: bytes) -> bytes:
+    """The line of a request that names its visit."""
+    return next(line for line in head.split(b"\r\n") if line.lower().startswith(b"x-trace-id"))
+
+
 def other(registry: Registry, old: bool = False) -> bytes:
     """Settings before the move, and after it: prefixes change place, a zone goes, the list is pushed."""
     told = configuration([], registry.port)
@@ -80,7 +94,8 @@
 
 def test_there_and_back_under_load_nothing_is_lost_or_sent_twice():
     async def story() -> None:
-        peers, registry = [Ledger(11), Ledger(13), Ledger(17)], Registry()
+        broken = Counter[bytes]()
+        peers, registry = [Ledger(11, broken), Ledger(13, broken), Ledger(17, broken)], Registry()
         async with running(*peers, registry=registry) as service:
             await registry.until(lambda: bool(registry.writers))
             stop, statuses = asyncio.Event(), Counter[tuple[str, int]]()
@@ -93,18 +108,32 @@
                 switch(service, other(registry, old))
             stop.set()
             await asyncio.gather(*tasks)
-            # what broke off may have run: read-like visits went elsewhere, mutating ones were errored
+            # what broke off may have run: read-like visits went elsewhere (one that has no fetch left is
+            # rejected, below), mutating ones were errored
             assert {status for path, status in statuses if "read" in path} == {200}
             assert {status for path, status in statuses if "change" in path} == {200, 502}
             assert not service.turn.visits
-            traces = Counter(line for p in peers for head, _ in p.requests if b" /change/" in head
-                             for line in head.split(b"\r\n") if line.lower().startswith(b"x-trace-id"))
+            traces = Counter(trace(head) for p in peers for head, _ in p.requests if b" /change/" in head)
             assert len(traces) > 50 and set(traces.values()) == {1}
             assert service.turn.counts["faults"] == 0
 
     asyncio.run(story())
 
 
+def test_a_read_like_visit_whose_every_fetch_breaks_off_is_rejected_once_none_is_left():
+    async def story() -> None:
+        peers = [Peer(RESET) for _ in range(FETCHES + 1)]
+        async with running(*peers) as service:
+            client = await caller(service)
+            status, head, _ = await client.ask(request("/read/a"))
+            assert status == 503 and b"Retry-After" in head
+            # each at another upstream, and no more than it may have
+            assert sorted(len(p.requests) for p in peers) == [0, 1, 1, 1]
+            assert not service.turn.visits
+
+    asyncio.run(story())
+
+
 def test_what_is_out_over_a_switch_is_answered_and_a_prefix_goes_and_comes():
     async def story() -> None:
         peer, registry = Ledger(), Registry()
