Takeover: nothing waits for a word beyond its client's time, and the backstop holds for what waits

Looked for in the story of the stopped owner (three visits without an answer, once): places where a client of a balancer with takeover can be left without an answer in time.

- Who waits for the answer of another balancer was to be told 20 ms before its client's time is over.
What is due is looked at every 50 ms (fleet/bank.py, LOOK), so it was up to 30 ms after (takeover.py, IN_TIME).
Now 100 ms, two looks.
- A permit, a refusal, a doubted answer and a claim waited wait_ms (a claim three times that) whatever was left of the client's time: up to 200 ms beyond it, and 500 ms for a claim (Takeover.send, refuse, answered, _claim).
Now never beyond.
- A refusal or an answer that waits for a word counts as answered, so Turn._overdue, which answers whatever went wrong, passed it over: a word that never comes left its client without any answer.
It is answered now.

--- a/ospreyline/fleet/takeover.py
+++ b/ospreyline/fleet/takeover.py
@@ -35,7 +35,7 @@
 STEP = 400.0  # ms between one guardian's turn to take over and the next one's
 CLAIMS = 6  # tries to get a visit that others want, too
 CLAIM_WAITS = 3.0  # times the wait for a permit that a claim may take
-IN_TIME = 20.0  # ms before its client's time is over at which it is told that nothing is known
+IN_TIME = 100.0  # ms before its client's time is over, from which on nothing waits: two looks at what is due
 MOST_ANSWER = 1 << 16  # bytes of an answer that is kept; a larger one is known to have been, and no more
 
 Ran = tuple[str, int, float]  # a fetch that may have run: zone, cell, ms since it may have been sent
@@ -179,6 +179,10 @@
                 hand.retry_at, hand.wide = inf, False
                 self._ask(now, hand, guardians(hand.id, self._guards))
 
+    def _wait(self, now: float, hand: Hand, what: str, longest: float) -> None:
+        """Wait for a word, so long at the most. Guards: a client's time may be over before that."""
+        hand.waits, hand.until = what, min(now + longest, max(now, hand.ends - IN_TIME))
+
     def _late(self, now: float, hand: Hand) -> None:
         """Guardians have not answered in time. Guards: nothing in a visit's way waits longer."""
         waits, hand.waits, hand.until = hand.waits, "", inf
@@ -258,7 +262,8 @@
         if free:
             hand.work.register()
         else:
-            hand.fetch, hand.waits, hand.until = number, "permit", now + self.wait
+            hand.fetch = number
+            self._wait(now, hand, "permit", self.wait)
             self.counts["permits"] += 1
             hand.work.permit(number, zone, cell)
         self._flush(now, hand)
@@ -283,7 +288,7 @@
             # harmless anyhow; or its permits keep all others from running it
             self._flush(now, hand, last=True)
             return True
-        hand.waits, hand.until = "refuse", now + self.wait
+        self._wait(now, hand, "refuse", self.wait)
         self._flush(now, hand)
         return False
 
@@ -311,7 +316,7 @@
             return True
         hand.work.answered(body if len(body) <= MOST_ANSWER else b"")
         if doubt:
-            hand.waits, hand.until = "told", now + self.wait
+            self._wait(now, hand, "told", self.wait)
         self._flush(now, hand, last=not doubt)
         return not doubt
 
@@ -352,7 +357,7 @@
                     anew=not orphan)
         hand = self._hand(tag, id_, kind, work, now + left)
         hand.registered, hand.orphan = True, orphan
-        hand.waits, hand.until = "claim", now + CLAIM_WAITS * self.wait
+        self._wait(now, hand, "claim", CLAIM_WAITS * self.wait)
         work.away = {n for n, _ in self._guards if n not in sessions}
         work.claim(above)
         work.looked()
@@ -395,7 +400,7 @@
             # who may have sent it is there: its answer may yet come, and is passed on to us. Guards: a second
             # fetch while the first is out
             if hand.waits != "answer":
-                hand.waits, hand.until = "answer", hand.ends - IN_TIME
+                self._wait(now, hand, "answer", inf)
             return
         if work.may_have_run and hand.kind is Kind.MUTATING:
             return self._end("unknown", hand)
--- a/ospreyline/net/covering.py
+++ b/ospreyline/net/covering.py
@@ -155,6 +155,14 @@
         if self._turn.bank is not None:
             self._turn.bank.carry_out()
 
+    def overdue(self, tag: int) -> bool:
+        """Its client's time is over: whether what it is to be told still waits here, for a word in vain."""
+        act, _ = self._waiting.get(tag, (None, ()))
+        if act != self._turn.reply:
+            return False
+        del self._waiting[tag]
+        return True
+
     def holds(self, tag: int) -> bool:
         """Whether a visit's client waits here for a word before it is told something."""
         return tag in self._waiting
--- a/ospreyline/net/turn.py
+++ b/ospreyline/net/turn.py
@@ -390,7 +390,7 @@
 
     def _overdue(self, now: float, taken: Taken) -> None:
         """Guards: whatever went wrong, a visit that was taken is answered."""
-        if taken.answered:
+        if taken.answered and not (self.covering is not None and self.covering.overdue(taken.tag)):
             return self._settle(taken)
         self.counts["overdue"] += 1
         self.logger.error("visit answered by the backstop", fetches=len(taken.errands))
