The list service is spared: judged at a service whose queue shows a crowd, not a late process

..list_service_is_spared[registry-down] once had a queue of 5 where 3 are allowed. Cause: the story counted what is chance. The service took 250 calls a second, 4 ms each; twelve balancers have places 5 ms apart there, and each failed call adds up to 5% of a period of 1 and 2 s, 50 and 100 ms, so the twelve calls after a return come in any order.

The service now takes 6 calls a second, and the operator's file says so.

--- a/tests/test_rig_runs.py
+++ b/tests/test_rig_runs.py
@@ -24,6 +24,10 @@
 CHANGE = {"name": "change", "kind": "mutating", "share": 0.5, "work_ms": 10.0, "target_ms": 400.0,
           "timeout_ms": 1_500.0, "gain": 4.0}
 
+REGISTRY = {"mode": "ask", "calls_per_s": 250.0, "notice_ms": [100.0, 200.0], "silent_ms": [500.0, 800.0],
+            "period_ms": 50.0}
+SLOW = 6.0  # calls a second of a service that is crowded soon
+
 
 def tree(seconds: float = 4.0, **more: Any) -> dict[str, Any]:
     """Three balancers, four upstreams in two zones, eighty visits a second."""
@@ -31,8 +35,7 @@
         "name": "story", "day": {"seconds": seconds}, "bank": {"count": 3, "notice_ms": [300.0, 600.0]},
         "zones": {"names": ["a", "b"]},
         "servers": [{"count": 4, "cores": 2, "slots_per_core": 4, "cold_from": 0.5, "warm_ms": 2_000.0}],
-        "registry": {"mode": "ask", "calls_per_s": 250.0, "notice_ms": [100.0, 200.0],
-                     "silent_ms": [500.0, 800.0], "period_ms": 50.0},
+        "registry": REGISTRY,
         "load": {"rate": 80.0}, "clients": {"retries": 2, "patience": 0.7},
         "prefixes": [READ, CHANGE], "rules": {"overload_factor": 4.0, "slack_ms": 150.0},
         "goal": {"cross_fee": 0.2}, **more,
@@ -163,13 +166,16 @@
     ({"kind": "drop", "link": "b[02468]>list", "at_s": 0.0, "for_s": 20.0}, 7),
 ], ids=lambda value: str(value["kind"]) if isinstance(value, dict) else "")
 def test_a_bank_starts_at_once_and_the_list_service_is_spared(fault, served, tmp_path):
+    # a slow service, of 167 ms a call: a queue there is a crowd of calls, and not how late a process was. At
+    # 4 ms a call more than three came by chance now and then, and a bank without its pace had none
     day = Played(tmp_path, seconds=9.0, bank={"count": 12, "notice_ms": [300.0, 600.0]}, faults=[
         fault, {"kind": "hup", "who": "b1", "at_s": 1.2},
         {"kind": "restart", "who": "b3", "at_s": 1.5, "for_s": 0}],
-        rig={"start": "at once", "known": "none", "operator": {"list": {"calls_per_s": 250.0}}})
+        registry={**REGISTRY, "calls_per_s": SLOW},
+        rig={"start": "at once", "known": "none", "operator": {"list": {"calls_per_s": SLOW}}})
     day.kept()
     start = day.figures["start"]
-    assert start["listed"] == served and start["longest_queue"] <= 3 and start["calls_each"] <= 4
+    assert start["listed"] == served and start["longest_queue"] <= 3 and start["calls_each"] <= 4, start
     # whoever has a list serves, the others bounce at once and are not ready
     assert len({row["b"] for row in day.of("ready")}) == served
 
