--- /dev/null
+++ b/tests/test_late_rig.py
@@ -0,0 +1,48 @@
+"""Stories whose day was void, as the rig itself came late: played again, said, and never let pass for it."""
+
+from __future__ import annotations
+
+import pytest
+from test_known_red import both, run
+
+SUITE = """
+import json
+from pathlib import Path
+
+import pytest
+
+PLAYED = Path(__file__).parent / "played"
+
+
+@pytest.mark.parametrize("n", [7])
+def test_story(n, tmp_path):
+    late, fails = {days}[sum(1 for _ in PLAYED.open()) if PLAYED.exists() else 0]
+    with PLAYED.open("a") as file:
+        print(n, *sorted(path.name for path in tmp_path.iterdir()), file=file)
+    (tmp_path / "out").mkdir()
+    (tmp_path / "out" / "summary.json").write_text(json.dumps({{"lag_ms": late, "void": late > 100}}))
+    assert not fails, "rules broken"
+"""
+FINE, BROKEN = (3.0, False), (3.0, True)
+LATE_FINE, LATE_BROKEN = (312.0, False), (312.0, True)
+
+
+@both
+@pytest.mark.parametrize(("days", "status", "said"), [
+    ([FINE], 0, []),
+    ([BROKEN], 1, []),
+    ([LATE_FINE], 0, ["passed, though the rig came 312 ms late"]),
+    ([LATE_BROKEN, FINE], 0, ["the rig came 312 ms late: played again, after AssertionError: rules broken"]),
+    ([LATE_BROKEN, BROKEN], 1, ["the rig came 312 ms late: played again"]),
+    ([LATE_BROKEN, LATE_FINE], 0, ["played again", "passed, though"]),
+    ([LATE_BROKEN, LATE_BROKEN, FINE], 0, ["played again"]),
+    ([LATE_BROKEN, LATE_BROKEN, LATE_BROKEN, FINE], 1, ["played again"])],
+    ids=["fine", "broken", "late", "late and broken, fine", "late and broken, broken", "broken, late",
+         "late and broken twice", "late and broken three times"])
+def test_a_story_fails_at_once_unless_the_rig_came_late(days, status, said, how, tmp_path):
+    got, text = run(tmp_path, SUITE.format(days=days), None, *how)
+    assert got == status, text
+    # each play is in a folder of its own
+    assert (tmp_path / "tests" / "played").read_text() == "7\n" * min(3, len(days))
+    assert all(one in text for one in said), text
+    assert said or "came 312 ms late" not in text
