A reset behind the last bytes of an answer without a length is no end of it

Seen: a story that sends a head with Connection: close, no length, half a body and a reset in one go had the half answered as whole, 4 of 4 (read-like and mutating, HTTP/1.0 and 1.1); with the half read before the reset it was right. Cause: libuv reports an end of file when a read was partial and the poll said hang-up, and a reset is a hang-up, too; Conn.eof_received took it at its word. Ruled out: uvloop's own error path (it hands over connection_lost with the error where the read meets it) and the parser (it is not told of ends).

Conn.eof_received looks at the socket: an error or a hang-up there is a reset, as we have not ended our side.

tests/test_closing.py: answers of each framing, broken off by an end or a reset, read in turn or at once; also what was right and had no story: half a line and a close on a resting connection, requests and answers in pieces at every byte, floods that go, slow clients, TCP_NODELAY on every socket, whole lists that leave out who still answers, a watch that falls silent late. Red without the mend: 4 stories of this one; the others held.

--- a/ospreyline/net/upstreams.py
+++ b/ospreyline/net/upstreams.py
@@ -254,7 +254,9 @@
         errand.end(answer)
 
     def eof_received(self) -> bool:
-        if self.errand is not None and self._ends_with_it:
+        # guards: the loop library takes a reset that comes right behind bytes for an end, and it is none
+        if self.errand is not None and self._ends_with_it and self.transport is not None \
+                and not unread(self.transport, 0):
             self.on_message_complete()  # an answer without a length lasts until the end
             self._finish(self.errand, keep=False)
         return False
--- /dev/null
+++ b/tests/test_closing.py
@@ -0,0 +1,420 @@
+"""Bytes that arrive in the instant in which a connection is shut or closed, by either side.
+
+A story that needs bytes to lie unread writes them and goes on without giving the loop a pass, or holds the
+loop between its look at the sockets and its timers, as a long callback would.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+
+import pytest
+from stand_ins import RESET, SILENT, Peer, Registry, caller, ok, request, running, target
+from test_clients import play
+from test_fleet_runs import Stand, until
+from test_left import asked
+from test_reuse import Raw
+
+from ospreyline.net import clients, upstreams
+from ospreyline.net import service as service_module
+from ospreyline.net.turn import clock
+
+WHOLE = b"whole answer"
+
+
+def reset(conn: socket.socket) -> None:
+    conn.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    conn.close()
+
+
+async def connected(service, least=1, receive=0):
+    """A client's socket in the story's own hand, once the balancer has its connection."""
+    sock, before = socket.socket(), len(service.clients.open)
+    if receive:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive)
+    sock.setblocking(False)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    await asyncio.get_running_loop().sock_connect(sock, service.at)
+    while len(service.clients.open) < before + least:
+        await asyncio.sleep(0)
+    return sock, list(service.clients.open)[-1]
+
+
+async def read_all(sock):
+    """All that comes until its end; a reset raises."""
+    loop, got = asyncio.get_running_loop(), bytearray()
+    async with asyncio.timeout(5):
+        while data := await loop.sock_recv(sock, 65_536):
+            got += data
+    sock.close()
+    return bytes(got)
+
+
+# what the machine holds back
+
+
+def nodelay(transport):
+    return transport.get_extra_info("socket").getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+
+
+def test_small_writes_are_held_back_on_no_socket_of_ours():
+    async def story():
+        registry = Registry()
+        peer = Peer(SILENT)
+        async with running(peer, registry=registry) as service:
+            await registry.tell(4)
+            client = await caller(service)
+            client.writer.write(request())
+            await peer.until(lambda: bool(peer.requests))
+            (accepted,), (upstream,) = service.clients.open, service.turn.upstreams.open
+            (call,) = service.turn.discovery._calls
+            for transport in (accepted.transport, upstream.transport, call.transport):
+                assert nodelay(transport) == 1
+        a = await Stand("a").start()
+        b = await Stand("b", a).start()
+        await until(lambda: a.knows(b) and b.knows(a))
+        links = [link for s in (a, b) for link in s.bank.links.open]  # one that was dialled, one accepted
+        assert len(links) == 2 and all(nodelay(link.transport) == 1 for link in links)
+        for s in (a, b):
+            s.bank.close()
+
+    play(story)
+
+
+# a shutdown, a close, and what comes from the client
+
+
+@pytest.mark.parametrize("when", ["with it", "after it"])
+def test_a_request_behind_the_last_one_is_never_sent_on(when):
+    async def story():
+        peer = Peer(SILENT)
+        async with running(peer) as service:
+            sock, _ = await connected(service)
+            sock.sendall(request(Connection="close"))
+            await peer.until(lambda: bool(peer.requests))
+            if when == "with it":
+                sock.sendall(request(trace="behind"))
+            peer.writers[0].write(ok(WHOLE))
+            loop = asyncio.get_running_loop()
+            got = await loop.sock_recv(sock, 4096)
+            if when == "after it":
+                sock.sendall(request(trace="behind"))
+            got += await read_all(sock)
+            assert got.startswith(b"HTTP/1.1 200") and got.endswith(WHOLE) and len(peer.requests) == 1
+            assert not service.turn.visits
+
+    play(story)
+
+
+def send_buffer(client, size):
+    client.transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, size)
+
+
+def test_a_request_that_is_accepted_as_the_stop_begins_is_answered(monkeypatch):
+    async def story():
+        monkeypatch.setattr(service_module, "KEEP_ACCEPTING", 0.0)
+        peer = Peer()
+        async with running(peer) as service:
+            sock = socket.create_connection(service.at)
+            sock.setblocking(False)
+            sock.sendall(request("/change", "POST", b"x"))
+            service.clients.accept()
+            assert service.clients._coming and not service.clients.open  # accepted just now, and no more
+            stop = asyncio.ensure_future(service.stop())
+            assert (await read_all(sock)).startswith(b"HTTP/1.1 200")
+            await asyncio.wait_for(stop, 4)
+            assert len(peer.requests) == 1
+
+    play(story)
+
+
+# a close, and what comes from an upstream
+
+
+@pytest.mark.parametrize("path", ["/read", "/change"])
+@pytest.mark.parametrize("first", ["half a line", "choice"])
+def test_half_a_line_and_a_close_on_a_resting_connection_spoil_no_answer(first, path, monkeypatch):
+    async def story():
+        monkeypatch.setattr(upstreams, "SETTLE", 0.0)
+        raw = Raw()
+        async with running(known=[target(u, raw.port) for u in ("u0", "u1")]) as service:
+            client = await caller(service)
+            client.writer.write(request())
+            conn, _ = await raw.take()
+            conn.sendall(ok(b"first"))
+            assert (await client.answer())[2] == b"first"
+            start = upstreams.Conn.start
+
+            def ends():
+                conn.send(b"HTTP/1.1 2")
+                conn.close()
+
+            def crossed(self, errand, now):
+                start(self, errand, now)
+                if conn.fileno() >= 0:  # the very pass: the request is out, the end comes
+                    ends()
+
+            if first == "half a line":
+                ends()
+            else:
+                monkeypatch.setattr(upstreams.Conn, "start", crossed)
+            client.writer.write(asked(path, trace="next"))
+            if first == "choice" and path == "/change":
+                assert (await client.answer())[0] == 502  # it may have run
+                return
+            again, got = await raw.take()
+            assert b"next" in got
+            again.sendall(ok(WHOLE))
+            assert (await client.answer())[::2] == (200, WHOLE)
+            assert service.turn.counts["reset"] == (first == "choice")
+            again.close()
+
+    play(story)
+
+
+HEADS = {
+    "no length": b"HTTP/1.1 200 OK\r\n\r\n",
+    "ends with its connection": b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n",
+    "1.0": b"HTTP/1.0 200 OK\r\n\r\n",
+    "1.0, ends with its connection": b"HTTP/1.0 200 OK\r\nConnection: close\r\n\r\n",
+    "length": b"HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\n",
+    "length, ends with it": b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 50\r\n\r\n",
+    "chunked": b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n20\r\n",
+    "chunked, ends with it": (
+        b"HTTP/1.1 200 OK\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n20\r\n"),
+}
+
+
+@pytest.mark.parametrize("path", ["/read", "/change"])
+@pytest.mark.parametrize("how", ["end", "reset"])
+@pytest.mark.parametrize("head", HEADS)
+@pytest.mark.parametrize("read", ["in turn", "at once"])
+def test_an_answer_that_breaks_off_counts_as_whole_only_where_its_end_is_its_length(head, how, path, read):
+    # a reset is no end, whatever the head said and however much had come
+    async def story():
+        raw = Raw()
+        async with running(known=[target(u, raw.port) for u in ("u0", "u1")]) as service:
+            client = await caller(service)
+            client.writer.write(asked(path))
+            conn, _ = await raw.take()
+            (there,) = service.turn.upstreams.open
+            conn.sendall(HEADS[head] + WHOLE)
+            while read == "in turn" and not there._body:
+                await asyncio.sleep(0)
+            reset(conn) if how == "reset" else conn.close()
+            if how == "end" and "ends with its connection" in head:
+                assert (await client.answer())[::2] == (200, WHOLE)
+                return
+            if path == "/change":
+                assert (await client.answer())[0] == 502
+                return
+            again, _ = await raw.take()
+            again.sendall(ok(b"again"))
+            assert (await client.answer())[::2] == (200, b"again")
+            again.close()
+
+    play(story)
+
+
+# pieces
+
+
+CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n7\r\n answer\r\n0\r\n\r\n"
+
+
+def pieces_of(data):
+    """All ways to cut it in two, and then byte by byte."""
+    return [[data[:at], data[at:]] for at in range(1, len(data))] + [
+        [data[at:at + 1] for at in range(len(data))]]
+
+
+def counted(kind, monkeypatch):
+    """How often a connection of this kind has been handed bytes from now on."""
+    calls, real = [], kind.data_received
+
+    def data_received(conn, data):
+        calls.append(data)
+        real(conn, data)
+
+    monkeypatch.setattr(kind, "data_received", data_received)
+    return calls
+
+
+@pytest.mark.parametrize("path", ["/read", "/tag"])
+def test_a_request_may_come_in_pieces_at_every_byte(path, monkeypatch):
+    async def story():
+        monkeypatch.setattr(upstreams, "SETTLE", 0.0)
+        peer, calls = Peer(), counted(clients.Client, monkeypatch)
+        async with running(peer) as service:
+            sock, _ = await connected(service)
+            loop = asyncio.get_running_loop()
+            for seen, pieces in enumerate(pieces_of(asked(path, trace="100"))):
+                for piece in pieces:
+                    before = len(calls)
+                    sock.sendall(piece)
+                    while len(calls) == before:
+                        await asyncio.sleep(0)
+                assert (await loop.sock_recv(sock, 4096)).startswith(b"HTTP/1.1 200")
+                assert len(peer.requests) == seen + 1
+                assert peer.requests[-1][1] == (b"x" if path == "/tag" else b"")
+            sock.close()
+
+    play(story)
+
+
+@pytest.mark.parametrize("answer", [ok(WHOLE), CHUNKED])
+def test_an_answer_may_come_in_pieces_at_every_byte(answer, monkeypatch):
+    async def story():
+        monkeypatch.setattr(upstreams, "SETTLE", 0.0)
+        raw, calls = Raw(), counted(upstreams.Conn, monkeypatch)
+        async with running(known=[target("u0", raw.port)]) as service:
+            client, loop = await caller(service), asyncio.get_running_loop()
+            client.writer.write(request())
+            conn, _ = await raw.take()
+            conn.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            for pieces in pieces_of(answer):
+                for piece in pieces:
+                    before = len(calls)
+                    conn.sendall(piece)
+                    while len(calls) == before:
+                        await asyncio.sleep(0)
+                assert (await client.answer())[::2] == (200, WHOLE)
+                client.writer.write(request())
+                assert await asyncio.wait_for(loop.sock_recv(conn, 4096), 5)  # on the same connection
+            conn.close()
+
+    play(story)
+
+
+# floods, slow clients, requests without an answer
+
+
+@pytest.mark.parametrize("goes", ["end", "reset"])
+@pytest.mark.parametrize("sends", ["requests", "a body", "nonsense", "a request and a half"])
+def test_clients_that_send_much_at_once_and_go_leave_nothing_behind(sends, goes):
+    async def story():
+        data = {"requests": request("/change", "POST", b"x") * 300,
+                "a body": request("/change", "POST", Content_Length="60000") + b"x" * 50_000,
+                "nonsense": b"\x00\xff" * 50_000,
+                "a request and a half": request("/change", "POST", b"x") + request()[:30]}[sends]
+        peer = Peer()
+        async with running(peer) as service:
+            usual = await caller(service)
+            assert (await usual.ask(request()))[0] == 200
+            for _ in range(30):
+                sock = socket.create_connection(service.at)
+                sock.sendall(data)
+                reset(sock) if goes == "reset" else sock.close()
+            while service.turn.counts["accepted"] < 31 or len(service.clients.open) > 1 \
+                    or service.clients._coming:
+                await asyncio.sleep(0)
+            assert (await usual.ask(request()))[0] == 200
+            assert len(peer.requests) == 2 and not service.turn.visits and not service.turn._ids
+            assert not service.turn.counts["faults"]
+
+    play(story)
+
+
+def test_a_client_that_writes_slowly_is_served_and_one_that_reads_slowly_is_not_cut():
+    async def story():
+        body = b"x" * 600_000
+        async with running(Peer(ok(body))) as service:
+            slow, client = await connected(service, receive=4096)
+            send_buffer(client, 4096)
+            loop, data = asyncio.get_running_loop(), request(X_Long="y" * 400)
+            for at in range(0, len(data), 100):
+                slow.sendall(data[at:at + 100])
+                client.since -= 0.3  # as much later, and within its time
+                service.clients.tidy()
+                for _ in range(5):
+                    await asyncio.sleep(0)
+            while not (client.asked and client.transport.get_write_buffer_size()):
+                await asyncio.sleep(0)
+            got = bytearray()
+            client.since -= 10.0  # far longer than a request may take
+            while len(got) < len(body):
+                service.clients.tidy()
+                got += await loop.sock_recv(slow, 65_536)
+            assert b"200 OK" in got and service.turn.counts["cut_slow"] == 0
+            slow.close()
+
+    play(story)
+
+
+@pytest.mark.parametrize("path", ["/read", "/tag", "/change"])
+def test_whatever_an_upstream_does_each_request_has_one_answer_in_time(path):
+    # what our own backstops guarantee: the client timeout and 15 ms, then the turn that is under way
+    async def story():
+        odd = [SILENT, RESET, ("cut", b"HTTP/1.1 200 OK\r\n\r\nhalf"), ok(b"", b"", b"500 Oh"), b"HTTP/1.1 2",
+               b"nonsense\r\n\r\n", ("cut", b""), ok(b"", b"", b"503 No"), b"HTTP/1.1 102 Processing\r\n\r\n"]
+        peers = [Peer(*odd * 40) for _ in range(3)]
+        async with running(*peers) as service:
+            began = clock()
+            callers = [await caller(service) for _ in range(40)]
+            for client in callers:
+                client.writer.write(asked(path, X_Expires_In="0.25"))
+            answers = await asyncio.gather(*(client.answer() for client in callers))
+            assert all(status in (200, 502, 503, 504) for status, _, _ in answers)
+            assert clock() - began < 2_000 and not service.turn.counts["faults"]
+            for client in callers:  # exactly one
+                client.writer.write_eof()
+                assert await client.reader.read() == b""
+            assert service.turn.counts["overdue"] == 0
+
+    play(story)
+
+
+# lists
+
+
+@pytest.mark.parametrize("how", ["watch", "plain call"])
+def test_who_a_whole_list_leaves_out_is_gone_though_it_still_answers(how):
+    async def story():
+        registry, out, stays = Registry(), Peer(ok(b"out")), Peer(SILENT)
+        async with running(out, registry=registry) as service:
+            await registry.tell(4)
+            client = await caller(service)
+            assert (await client.ask(request()))[2] == b"out"
+            assert out.open == 1  # it rests, and would be used again
+            if not stays.port:
+                await stays.start()
+            whole = target("u1", stays.port)
+            if how == "watch":
+                await registry.tell(5, whole, whole=True)
+            else:
+                service.turn.discovery.refresh()
+                await registry.until(lambda: len(registry.writers) == 2)
+                await registry.tell(5, whole, whole=True)
+                registry.writers[-1].write(b"0\r\n\r\n")
+            while service.turn.discovery.rev != 5:
+                await asyncio.sleep(0)
+            await out.until(lambda: out.open == 0)  # its connections are closed
+            stays.answers = [ok(b"stays")]
+            for _ in range(10):
+                assert (await client.ask(request()))[2] == b"stays"
+            assert len(out.requests) == 1
+
+    play(story)
+
+
+def test_a_watch_that_falls_silent_late_is_noticed_as_soon_as_one_that_never_spoke(monkeypatch):
+    async def story():
+        registry = Registry()
+        async with running(Peer(), registry=registry) as service:
+            await registry.tell(4)
+            (call,) = service.turn.discovery._calls
+            call.since -= 13.0  # it has spoken for so long
+            for _ in range(3):
+                await registry.say(b"\n")
+            while call.heard == call.since:
+                await asyncio.sleep(0)
+            heard = call.heard
+            assert not call.silent(heard + 2.4) and call.silent(heard + 2.6)
+            call.heard -= 2.6
+            service.turn.discovery.tidy()
+            assert call.over and not service.turn.discovery._calls
+            await registry.until(lambda: len(registry.requests) > 1)
+
+    play(story)
