A new connection that has ended before its request is written is not written on

Seen: an upstream that dies right after its machine accepted (end, reset, or half a line and an end) while the loop is between the connection and the write: the request was written on, met a reset and counted as one that may have run, so a mutating visit was errored (502) though it never ran. Cause: Peer._open asked only whether we were closing the connection, not what lies in its socket. A kept connection has been looked at since long (Peer.run); now a new one is, too: what has ended, or spoken unasked, is broken while connecting, so it is unreached and sent elsewhere. Red without the mend: 9 of 9 (end, reset, half a line; each class).

--- a/ospreyline/net/upstreams.py
+++ b/ospreyline/net/upstreams.py
@@ -376,7 +376,8 @@
             errand.cut(Why.BROKEN)
         else:
             errand.opening = None
-            if conn.transport is None or conn.transport.is_closing():
+            # guards: an upstream that died right after it accepted; written on, the request might have run
+            if conn.transport is None or unread(conn.transport, select.POLLIN):
                 errand.cut(Why.BROKEN)
             elif pool.clock() >= errand.expires:
                 # guards: after this process stood still its connection shows before its time-out does
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -133,6 +133,40 @@
 # a close, and what comes from an upstream
 
 
+@pytest.mark.parametrize("path", ["/read", "/tag", "/change"])
+@pytest.mark.parametrize("how", ["end", "reset", "half a line and end"])
+def test_a_connection_that_has_ended_as_it_comes_up_is_not_written_on(how, path, monkeypatch):
+    # an upstream that is killed right after it accepted: written on, the request might have run
+    async def story():
+        raw = Raw()
+        real, first = upstreams.Peer._connect, []
+
+        async def connect(peer, conn):
+            await real(peer, conn)
+            if not first:
+                sock, _ = raw.server.accept()
+                first.append(sock)
+                if how.startswith("half"):
+                    sock.send(b"HTTP/1.1 2")
+                # nothing is read between this and the write
+                reset(sock) if how == "reset" else sock.close()
+
+        monkeypatch.setattr(upstreams.Peer, "_connect", connect)
+        async with running(known=[target(u, raw.port) for u in ("u0", "u1")]) as service:
+            client = await caller(service)
+            client.writer.write(asked(path, trace="next"))
+            while not first:
+                await asyncio.sleep(0)
+            conn, got = await raw.take()
+            assert b"next" in got
+            conn.sendall(ok(WHOLE))
+            assert (await client.answer())[2] == WHOLE
+            assert service.turn.counts["unreached"] == 1 and not service.turn.counts["reset"]
+            conn.close()
+
+    play(story)
+
+
 @pytest.mark.parametrize("path", ["/read", "/change"])
 @pytest.mark.parametrize("first", ["half a line", "choice"])
 def test_half_a_line_and_a_close_on_a_resting_connection_spoil_no_answer(first, path, monkeypatch):
