A whole list without a length is read at the end of its connection

Seen: a plain call that is answered without a length (HTTP/1.1 with or without Connection: close) and ended counted as failed ("connection closed") and was asked again, for good: the list could not be had that way. Cause: the parser is told of no end, so on_message_complete never came, and _Call.connection_lost stopped the call. Now _Call.eof_received reads what has come; a list that broke off is no JSON and counts as a failed call, as before. Red without the mend: 2 of 6 stories; the other 4 (cut off, framed and short, 503, nothing) held.

--- a/ospreyline/net/discovery.py
+++ b/ospreyline/net/discovery.py
@@ -154,6 +154,11 @@
             self._told(b"\n".join([*self._object, bytes(self._rest)]))
         self.stop("" if not self.watching else "the watch has ended")
 
+    def eof_received(self) -> bool:
+        if not self.watching and self._parser.get_status_code() == 200:
+            self.on_message_complete()  # a list without a length lasts until the end; half of one is no JSON
+        return False
+
     def connection_lost(self, exc: Exception | None) -> None:
         self.stop(str(exc or "connection closed"))
 
