A resting connection is shut in the instant in which it was looked at

Seen: a request that came between the look at a resting connection's socket and its half-close was read before the half-close and thrown away: its client had no answer for what we had read. Cause: the loop library (libuv) puts a shutdown off to its next pass, behind a look at all sockets; Client.finish trusted write_eof to act at once. Where nothing waits in our buffer the socket is now shut at once, so whatever is read later has crossed our end on the wire, and its client may send it once more; it is never sent on.

--- a/ospreyline/net/clients.py
+++ b/ospreyline/net/clients.py
@@ -18,6 +18,7 @@
 
 import httptools
 
+from ospreyline.net.sockets import shut
 from ospreyline.net.upstreams import HOP_BY_HOP, MOST_BODY, MOST_HEAD, MOST_RAW, unread
 
 IDLE = 75.0  # s that a connection may stand between requests
@@ -317,7 +318,10 @@
         self._over = True
         transport = self.transport
         if transport is not None and not transport.is_closing():
-            transport.write_eof()
+            if transport.get_write_buffer_size():
+                transport.write_eof()
+            else:
+                shut(transport)
             self.clients.loop.call_later(LINGER, transport.close)
 
     def gone(self) -> bool:
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -87,6 +87,35 @@
 # a shutdown, a close, and what comes from the client
 
 
+def test_a_request_that_crosses_the_end_of_a_resting_connection_can_be_sent_anew(monkeypatch):
+    # the shutdown came a pass later, so a request that came meanwhile was read before it and had no answer
+    async def story():
+        monkeypatch.setattr(clients, "SETTLED", -1.0)
+        peer = Peer()
+        async with running(peer) as service:
+            sock, client = await connected(service)
+            sock.sendall(request())
+            assert (await asyncio.get_running_loop().sock_recv(sock, 4096)).startswith(b"HTTP/1.1 200")
+            real = service.clients._idle
+
+            def idle():
+                found = real()
+                sock.sendall(request(trace="crosses"))  # behind the look at its socket
+                return found
+
+            monkeypatch.setattr(service.clients, "_idle", idle)
+            service.clients.finish_idle()
+            # its end is out before anything more is read: what comes has crossed it, and may be sent anew
+            assert sock.recv(4096, socket.MSG_DONTWAIT) == b""
+            while not client._left_over:
+                await asyncio.sleep(0)
+            assert await read_all(sock) == b"" and len(peer.requests) == 1
+            assert (await (await caller(service)).ask(request(trace="crosses")))[0] == 200
+            assert len(peer.requests) == 2 and not service.turn.visits
+
+    play(story)
+
+
 @pytest.mark.parametrize("when", ["with it", "after it"])
 def test_a_request_behind_the_last_one_is_never_sent_on(when):
     async def story():
