No close of ours takes an answer along that the machine still holds

Seen, with a client that reads slowly (small receive buffer) and a last answer that had left our buffer, but not the machine's: 1. bytes from it that lay unread as we closed (after lingering, cut as slow, at the end of the process) made the close a reset, and the rest of the answer was gone; 2. bytes that came after the close did the same; 3. the end of the process waited for our buffers only, and what came from the client later met a machine with no connection. Cause: Client.finish closed 1 s after its half-close whatever the machine held; Client.drop aborted over unread bytes; Clients.sending asked for our buffer alone.

Now a connection is read on while its machine holds bytes that were not acknowledged (TIOCOUTQ), until it is cut as slow (2.3 s) as before; whatever lies unread is thrown away before each close; the end waits for the acknowledgement within the same 0.06 s; one that makes room is none whose answer is still here. Where the system cannot tell (the ioctl fails) nothing is held and all is as it was.

The stand-in of a transport in test_clients.py gains the method that is asked now; what it shows is unchanged.

--- a/ospreyline/net/clients.py
+++ b/ospreyline/net/clients.py
@@ -18,7 +18,7 @@
 
 import httptools
 
-from ospreyline.net.sockets import shut
+from ospreyline.net.sockets import drain, shut, unacknowledged
 from ospreyline.net.upstreams import HOP_BY_HOP, MOST_BODY, MOST_HEAD, MOST_RAW, unread
 
 IDLE = 75.0  # s that a connection may stand between requests
@@ -322,7 +322,21 @@
                 transport.write_eof()
             else:
                 shut(transport)
-            self.clients.loop.call_later(LINGER, transport.close)
+            self.clients.loop.call_later(LINGER, self._lingered)
+
+    def _lingered(self) -> None:
+        """Close, once its client's machine has all of the answer; who reads too slowly is cut as such."""
+        # guards: what comes after a close is answered by a reset, which takes along what the machine holds
+        if self.holding():
+            self.clients.loop.call_later(SETTLED, self._lingered)
+        else:
+            self.drop()
+
+    def holding(self) -> bool:
+        """Whether a part of what was written is not with its client's machine."""
+        transport = self.transport
+        return transport is not None and not transport.is_closing() and bool(
+            transport.get_write_buffer_size() or unacknowledged(transport))
 
     def gone(self) -> bool:
         """Whether its client has gone, even if that still lies unread in the socket."""
@@ -354,7 +368,8 @@
         return now - self.since > (SLOW if self._reading or self._over else IDLE if self.asked else SILENT)
 
     def drop(self) -> None:
-        if self.transport is not None:
+        if self.transport is not None and not self.transport.is_closing():
+            drain(self.transport)
             self.transport.abort()
 
 
@@ -423,7 +438,7 @@
         found = [(-rank, c.since, c) for rank, c in spare
                  if now - c.since > (silent_for if rank == 1 else SETTLED)]
         silent = len(self._coming) + sum(rank == 1 for rank, _ in spare)
-        client = min(found, key=lambda entry: entry[:2])[2] if found else None
+        client = next((c for _, _, c in sorted(found, key=lambda entry: entry[:2]) if not c.holding()), None)
         if client is None or (client.spare() == 0 and silent > self.most_open // 4):
             return False  # guards: a flood of silent ones must not cost the usual clients theirs
         self.door.counts["made_room"] += 1
@@ -465,8 +480,8 @@
         return drained
 
     def sending(self) -> bool:
-        """Whether an answer has not left our buffers."""
-        return any(c.transport is not None and c.transport.get_write_buffer_size() for c in self.open)
+        """Whether an answer is not yet with its client's machine."""
+        return any(client.asked and client.holding() for client in self.open)
 
     def _shut(self) -> None:
         sock, self._socket = self._socket, None
--- a/ospreyline/net/sockets.py
+++ b/ospreyline/net/sockets.py
@@ -1,12 +1,17 @@
-"""What lies below a transport: the end of our sending."""
+"""What lies below a transport: the end of our sending, what the machine holds, what lies unread."""
 
 from __future__ import annotations
 
 import asyncio
+import fcntl
 import socket
+import sys
+import termios
 from collections.abc import Iterator
 from contextlib import contextmanager, suppress
 
+MOST_DRAINED = 1 << 20  # bytes that are read before a close
+
 
 @contextmanager
 def _below(transport: asyncio.BaseTransport) -> Iterator[socket.socket]:
@@ -26,3 +31,23 @@
     """
     with suppress(OSError), _below(transport) as sock:  # it may be gone already, which the loop will read
         sock.shutdown(socket.SHUT_WR)
+
+
+def unacknowledged(transport: asyncio.BaseTransport) -> int:
+    """Bytes, our end among them, that the machine holds since the other side has not acknowledged them."""
+    try:
+        held = fcntl.ioctl(transport.get_extra_info("socket").fileno(), termios.TIOCOUTQ, bytes(4))
+    except OSError:
+        return 0  # it cannot be told of every kind of socket
+    return int.from_bytes(held, sys.byteorder)
+
+
+def drain(transport: asyncio.BaseTransport) -> None:
+    """Throw away what lies unread.
+
+    Guards: a close over it resets the connection, and what the machine holds goes with it.
+    """
+    with suppress(OSError), _below(transport) as sock:
+        left = MOST_DRAINED
+        while left > 0 and (data := sock.recv(65_536, socket.MSG_DONTWAIT)):
+            left -= len(data)
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -274,6 +274,9 @@
                 def get_write_buffer_size(self):
                     return 1
 
+                def is_closing(self):
+                    return True
+
                 def abort(self):
                     pass
 
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -10,6 +10,7 @@
 import json
 import socket
 import struct
+import time
 
 import pytest
 from stand_ins import RESET, SILENT, Peer, Registry, caller, ok, request, running, target
@@ -142,6 +143,98 @@
     client.transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, size)
 
 
+async def answered_slowly(service, body, **fields):
+    """A client that has asked and does not read; its answer is out of our buffer, but still here."""
+    slow, client = await connected(service, receive=4096)
+    send_buffer(client, 2 * len(body))
+    slow.sendall(request(**fields))
+    while client.out is not None or not client.asked or client.transport.get_write_buffer_size():
+        await asyncio.sleep(0)
+    for _ in range(20):
+        await asyncio.sleep(0)
+    return slow, client
+
+
+async def in_a_long_pass(event, lasts):
+    """Something happens right after the loop has asked which sockets have bytes; then timers become due."""
+    loop, (ours, others), over = asyncio.get_running_loop(), socket.socketpair(), asyncio.Event()
+
+    def read():
+        loop.remove_reader(ours)
+        event()
+        time.sleep(lasts)
+        over.set()
+
+    loop.add_reader(ours, read)
+    others.send(b"x")
+    await over.wait()
+    ours.close()
+    others.close()
+
+
+@pytest.mark.parametrize("how", ["lingered", "cut as slow", "end of the process"])
+def test_a_close_over_unread_bytes_takes_no_answer_with_it(how, monkeypatch):
+    # closed with bytes unread, the connection was reset, and what the machine still held was lost
+    async def story():
+        monkeypatch.setattr(clients, "LINGER", 0.1)
+        body = b"x" * 150_000
+        async with running(Peer(ok(body))) as service:
+            slow, client = await answered_slowly(service, body, Connection="close")
+            # bytes that come once the sockets have been read lie there at the close
+            if how == "lingered":
+                await in_a_long_pass(lambda: slow.sendall(b"more"), 0.15)
+            else:
+                slow.sendall(b"more")
+            if how == "cut as slow":
+                client.since -= 10.0
+                service.clients.tidy()
+            elif how == "end of the process":
+                service.end()
+            for _ in range(5):
+                await asyncio.sleep(0)
+            assert (await read_all(slow)).endswith(body)
+
+    play(story)
+
+
+def test_a_lingering_connection_is_read_on_while_the_machine_holds_its_answer(monkeypatch):
+    # closed after 1 s, whatever came later was answered by a reset, and the rest of the answer was lost
+    async def story():
+        monkeypatch.setattr(clients, "LINGER", 0.05)
+        body = b"x" * 150_000
+        async with running(Peer(ok(body))) as service:
+            slow, client = await answered_slowly(service, body, Connection="close")
+            time.sleep(0.1)  # its time is over
+            for _ in range(5):
+                await asyncio.sleep(0)
+            slow.sendall(b"more")
+            assert (await read_all(slow)).endswith(body)
+            while service.clients.open:
+                await asyncio.sleep(0)
+            assert client._left_over == 4
+
+    play(story)
+
+
+def test_the_end_waits_for_what_the_machine_holds(monkeypatch):
+    # out of our buffer is not with the client: a byte from it after the end, and the rest was gone
+    async def story():
+        for name, value in (("MOST_NOTICE", 0.0), ("LAST_ANSWERS", 0.05), ("LAST_BYTES", 3.0),
+                            ("KEEP_ACCEPTING", 0.0)):
+            monkeypatch.setattr(service_module, name, value)
+        body = b"x" * 150_000
+        async with running(Peer(ok(body))) as service:
+            slow, _ = await answered_slowly(service, body, Connection="close")
+            stop = asyncio.ensure_future(service.stop())
+            await asyncio.sleep(0.1)  # past the moment at which all was closed
+            assert not stop.done()
+            slow.sendall(b"more")
+            assert (await read_all(slow)).endswith(body)
+            await asyncio.wait_for(stop, 4)
+
+    play(story)
+
+
 def test_a_request_that_is_accepted_as_the_stop_begins_is_answered(monkeypatch):
     async def story():
         monkeypatch.setattr(service_module, "KEEP_ACCEPTING", 0.0)
