No client is cut, or makes room, over a request that lies in its socket

Seen: the round over idle connections (every 0.25 s) and the search for room went by what the loop had read. Bytes that came in a long pass lay unread, and connections that had "asked nothing for 2 s", were "2.3 s in half a request", kept, or to make room were aborted with whole requests in their sockets: a reset, and for the first on a connection a request lost, as nobody sends it again.

One that is overdue with bytes unread is spared once until it begins another request, so one that trickles is cut a round (0.25 s) later at most: 2.8 s where 3 s are owed.

--- a/ospreyline/net/clients.py
+++ b/ospreyline/net/clients.py
@@ -110,6 +110,7 @@
         self._body: list[bytes] = []
         self._raw = self._size = 0
         self._head_done = False
+        self.spared = False  # it was overdue once, with bytes in its socket
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
@@ -338,6 +339,10 @@
         return transport is not None and not transport.is_closing() and bool(
             transport.get_write_buffer_size() or unacknowledged(transport))
 
+    def unread(self) -> bool:
+        """Whether a request, or a part of one, may lie in its socket."""
+        return not self._over and self.transport is not None and unread(self.transport, select.POLLIN)
+
     def gone(self) -> bool:
         """Whether its client has gone, even if that still lies unread in the socket."""
         # guards: timers and turns come before sockets are read; after a long one, or once this process was
@@ -438,7 +443,9 @@
         found = [(-rank, c.since, c) for rank, c in spare
                  if now - c.since > (silent_for if rank == 1 else SETTLED)]
         silent = len(self._coming) + sum(rank == 1 for rank, _ in spare)
-        client = next((c for _, _, c in sorted(found, key=lambda entry: entry[:2]) if not c.holding()), None)
+        # guards: what it asks may have come since sockets were last read
+        client = next((c for _, _, c in sorted(found, key=lambda entry: entry[:2])
+                       if not c.unread() and not c.holding()), None)
         if client is None or (client.spare() == 0 and silent > self.most_open // 4):
             return False  # guards: a flood of silent ones must not cost the usual clients theirs
         self.door.counts["made_room"] += 1
@@ -460,6 +467,11 @@
         """Cut off clients that are silent for too long."""
         now = self.loop.time()
         for client in [c for c in self.open if c.overdue(now)]:
+            if not client.spared and client.unread():
+                # guards: what came since sockets were last read lies there. After a long pass all that had
+                # waited would be cut, with whole requests in their sockets
+                client.spared = True
+                continue
             self.door.counts["cut_slow"] += 1
             client.drop()
         while len(self.open) > self.most_open // 2 and self._make_room(SETTLED):
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -235,6 +235,35 @@
     play(story)
 
 
+@pytest.mark.parametrize("how", [
+    "has asked nothing", "half a request", "kept", "makes room", "makes room, kept"])
+def test_a_connection_is_not_cut_over_a_request_that_lies_in_its_socket(how, monkeypatch):
+    # what came in a long pass lay unread when its timers ran, and was cut with what it had asked
+    async def story():
+        peer = Peer()
+        async with running(peer) as service:
+            sock, client = await connected(service)
+            loop, whole = asyncio.get_running_loop(), request(trace="lies")
+            if "kept" in how:
+                sock.sendall(request())
+                assert (await loop.sock_recv(sock, 4096)).startswith(b"HTTP/1.1 200")
+            elif how == "half a request":
+                sock.sendall(whole[:20])
+                while not client._reading:
+                    await asyncio.sleep(0)
+            sock.sendall(whole[20:] if how == "half a request" else whole)
+            client.since -= 100.0
+            if "room" in how:
+                assert not service.clients._make_room(clients.FRESH)
+            else:
+                service.clients.tidy()
+            assert (await loop.sock_recv(sock, 4096)).startswith(b"HTTP/1.1 200")
+            assert b"lies" in peer.requests[-1][0]
+            sock.close()
+
+    play(story)
+
+
 def test_a_request_that_is_accepted_as_the_stop_begins_is_answered(monkeypatch):
     async def story():
         monkeypatch.setattr(service_module, "KEEP_ACCEPTING", 0.0)
