A call for the whole list that is answered with nothing has failed

Seen: a 200 with an empty body (no length, a length of 0, no chunk) ended a plain call without a word to the decisions. Cause: _Call.on_message_complete called every plain call's end good. It is good now where something was told; else the call has failed, and is made again in the decisions' pace where a whole list is due.

The story now makes the whole list due, as the watch that stands makes up for a failed call otherwise.

--- a/ospreyline/net/discovery.py
+++ b/ospreyline/net/discovery.py
@@ -152,7 +152,8 @@
     def on_message_complete(self) -> None:
         if self._rest.strip() and not self.over:
             self._told(b"\n".join([*self._object, bytes(self._rest)]))
-        self.stop("" if not self.watching else "the watch has ended")
+        # guards: a call that told nothing would count as answered, and its list as had
+        self.stop("the watch has ended" if self.watching else "" if self.spoken else "no list came")
 
     def eof_received(self) -> bool:
         if not self.watching and self._parser.get_status_code() == 200:
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -609,7 +609,9 @@
 @pytest.mark.parametrize(("head", "whole"), [
     (b"HTTP/1.1 200 OK\r\n\r\n", True), (b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", True),
     (b"HTTP/1.1 200 OK\r\n\r\n", False), (b"HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\n", False),
-    (b"HTTP/1.1 503 No\r\n\r\n", None), (b"", None)])
+    (b"HTTP/1.1 503 No\r\n\r\n", None), (b"", None), (b"HTTP/1.1 200 OK\r\n\r\n", ""),
+    (b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", ""),
+    (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", "")])
 def test_a_list_without_a_length_lasts_until_the_end_and_half_of_one_is_asked_for_again(head, whole):
     # any such answer counted as a failed call, so the list could not be had from that service at all
     async def story():
@@ -618,16 +620,17 @@
             await registry.until(lambda: len(registry.writers) == 1)
             raw = Raw()
             service.turn.discovery.at = ("127.0.0.1", raw.port)
+            service.turn.discovery._whole_due = True  # or the watch that stands makes up for its failure
             service.turn.discovery.refresh()
             conn, _ = await raw.take()
             failed, noted = [], service.turn.discovery._tell_failed
             service.turn.discovery._tell_failed = lambda wait: (failed.append(wait), noted(wait))
             line = json.dumps({"rev": 5, "all": True, "targets": [target("u0", peer.port)]}).encode()
-            conn.sendall(head + (line if whole is not False else line[:-10]))
+            conn.sendall(head + {True: line, None: line, False: line[:-10], "": b""}[whole])
             conn.close()
             while service.turn.discovery.rev != 5 and not failed and len(service.turn.discovery._calls) > 1:
                 await asyncio.sleep(0)
-            assert (service.turn.discovery.rev == 5) is bool(whole)
+            assert (service.turn.discovery.rev == 5) is bool(whole) and bool(failed) is not bool(whole)
             if whole:
                 assert (await (await caller(service)).ask(request()))[2] == b"listed" and not failed
             assert not service.turn.counts["faults"]
