Whether an end was a reset is asked of the error alone, not of a hang-up

What the mend of answers without a length asks of a socket is now its error (POLLERR, SO_ERROR): a hang-up is reported by some systems after a plain end, too, which would have made whole answers broken ones.

--- a/ospreyline/net/sockets.py
+++ b/ospreyline/net/sockets.py
@@ -1,9 +1,10 @@
-"""What lies below a transport: the end of our sending, what the machine holds, what lies unread."""
+"""What lies below a transport: the end of our sending, what the machine holds, what lies unread, a reset."""
 
 from __future__ import annotations
 
 import asyncio
 import fcntl
+import select
 import socket
 import sys
 import termios
@@ -24,6 +25,15 @@
         sock.detach()
 
 
+def failed(transport: asyncio.BaseTransport) -> bool:
+    """Whether a connection was reset, though its end may be all that was told of it."""
+    lent = transport.get_extra_info("socket")
+    look = select.poll()
+    look.register(lent.fileno(), 0)
+    return any(events & select.POLLERR for _, events in look.poll(0)) or bool(
+        lent.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR))
+
+
 def shut(transport: asyncio.BaseTransport) -> None:
     """End our sending, at once; nothing may be in the transport's buffer.
 
--- a/ospreyline/net/upstreams.py
+++ b/ospreyline/net/upstreams.py
@@ -17,6 +17,7 @@
 
 from ospreyline.facts import REPORT_WORDS
 from ospreyline.host import End
+from ospreyline.net.sockets import failed
 
 MOST_BODY = 65_536
 MOST_HEAD = 32_768
@@ -256,7 +257,7 @@
     def eof_received(self) -> bool:
         # guards: the loop library takes a reset that comes right behind bytes for an end, and it is none
         if self.errand is not None and self._ends_with_it and self.transport is not None \
-                and not unread(self.transport, 0):
+                and not failed(self.transport):
             self.on_message_complete()  # an answer without a length lasts until the end
             self._finish(self.errand, keep=False)
         return False
