What becomes whole while the last answers leave at a stop is answered, too

Seen: at the end of a stop what was out was answered once (Turn.answer_all), then up to 0.06 s went by for the answers to leave; the rest of a slow client's request that came then was taken and cut off without an answer. Cause: Service.stop asked once. It asks as long as it waits, and waits while a visit has no answer (not while one is merely not settled: a fetch whose client has left would hold the stop).

--- a/ospreyline/net/service.py
+++ b/ospreyline/net/service.py
@@ -108,10 +108,8 @@
             if not listening and not self.clients.busy() and not self.clients.open:
                 break
             await asyncio.sleep(0.02)
-        if self.turn.visits:
-            self.turn.answer_all()
-            await asyncio.sleep(0.01)
-        while self.clients.sending() and self._loop.time() < ends + LAST_BYTES:
+        while (self.turn.waiting() or self.clients.sending()) and self._loop.time() < ends + LAST_BYTES:
+            self.turn.answer_all()  # guards: the rest of a request may have come since
             await asyncio.sleep(0.005)
         self.end()
         self._counts()
--- a/ospreyline/net/turn.py
+++ b/ospreyline/net/turn.py
@@ -423,6 +423,10 @@
         for taken in self.visits.values():
             self.note(self._overdue, taken)
 
+    def waiting(self) -> bool:
+        """Whether a visit has no answer yet."""
+        return any(not taken.answered for taken in self.visits.values())
+
     def close(self) -> None:
         self._wakes.clear()
         if self._alarm is not None:
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -282,6 +282,31 @@
     play(story)
 
 
+def test_a_request_that_is_whole_only_as_the_end_comes_is_answered(monkeypatch):
+    # all that was out had been answered, once; the rest of a slow one that came then was taken, and cut off
+    async def story():
+        for name, value in (("MOST_NOTICE", 0.0), ("LAST_ANSWERS", 0.05), ("LAST_BYTES", 1.0),
+                            ("KEEP_ACCEPTING", 0.0)):
+            monkeypatch.setattr(service_module, name, value)
+        body = b"x" * 150_000
+        async with running(Peer(ok(body), SILENT)) as service:
+            slow, _ = await answered_slowly(service, body, Connection="close")
+            late, client = await connected(service)
+            whole = asked("/change")
+            late.sendall(whole[:-1])
+            while not client._reading:
+                await asyncio.sleep(0)
+            stop = asyncio.ensure_future(service.stop())
+            await asyncio.sleep(0.1)  # the last answers are on their way
+            late.sendall(whole[-1:])
+            assert (await read_all(late)).startswith((b"HTTP/1.1 502", b"HTTP/1.1 504"))
+            assert (await read_all(slow)).endswith(body)
+            await asyncio.wait_for(stop, 4)
+            assert not service.turn.visits
+
+    play(story)
+
+
 # a close, and what comes from an upstream
 
 
