Empty lines without end cost their connection

Seen: a client that had one answer and then sent empty lines was read as fast as it sent, 1.9 GB in 2 s (a probe on loopback, one run), and cut only after 75 s as idle. Cause: the parser skips empty lines before a request without a word, and Client.data_received held the size of a message against its bound only while one was being read. What has come since a request began is bounded whether or not it is over: 413, then as any last answer. A few empty lines before a request are no fault, as before.

Red without the mend: 2 of 2 (a request out or not).

--- a/ospreyline/net/clients.py
+++ b/ospreyline/net/clients.py
@@ -143,8 +143,9 @@
             self._parser.feed_data(data)
             if not self._head_done and self._raw > MOST_HEAD:
                 raise BadRequest(431)
-            if self._reading and self._raw > MOST_RAW:
-                raise BadRequest(413)  # guards: trailers and chunk headers are no body, and have no end
+            if self._raw > MOST_RAW:
+                # guards: trailers and chunk headers are no body and have no end, nor have empty lines between
+                raise BadRequest(413)
         except httptools.HttpParserUpgrade:
             self._keep = False  # no other protocol is spoken here
             if self._reading:
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -528,6 +528,31 @@
     play(story)
 
 
+@pytest.mark.parametrize("waits", [True, False])
+def test_empty_lines_without_end_cost_their_connection(waits):
+    # between requests they were read for 75 s, as fast as they came; a few before a request are no fault
+    async def story():
+        peer = Peer(ok(b"first"), SILENT if waits else ok())
+        async with running(peer) as service:
+            sock, client = await connected(service)
+            loop = asyncio.get_running_loop()
+            sock.sendall(request())
+            assert (await loop.sock_recv(sock, 4096)).endswith(b"first")
+            sock.sendall(b"\r\n\r\n" + request(trace="next"))
+            await peer.until(lambda: len(peer.requests) == 2)
+            if not waits:
+                assert (await loop.sock_recv(sock, 4096)).endswith(b"hello")
+            await asyncio.wait_for(loop.sock_sendall(sock, b"\r\n" * (clients.MOST_RAW // 2 + 50_000)), 5)
+            while not client._over:
+                await asyncio.sleep(0)
+            if waits:
+                peer.writers[-1].write(ok(b"second"))
+            got = await read_all(sock)
+            assert got.startswith(b"HTTP/1.1 200" if waits else b"HTTP/1.1 413") and b"HTTP/1.1 413" in got
+
+    play(story)
+
+
 def test_a_client_that_writes_slowly_is_served_and_one_that_reads_slowly_is_not_cut():
     async def story():
         body = b"x" * 600_000
