--- a/ospreyline/net/clients.py
+++ b/ospreyline/net/clients.py
@@ -18,6 +18,7 @@
 
 import httptools
 
+from ospreyline.net.sockets import drain, shut, unacknowledged
 from ospreyline.net.upstreams import HOP_BY_HOP, MOST_BODY, MOST_HEAD, MOST_RAW, unread
 
 IDLE = 75.0  # s that a connection may stand between requests
@@ -109,6 +110,7 @@
         self._body: list[bytes] = []
         self._raw = self._size = 0
         self._head_done = False
+        self.spared = False  # it was overdue once, with bytes in its socket
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
@@ -141,8 +143,9 @@
             self._parser.feed_data(data)
             if not self._head_done and self._raw > MOST_HEAD:
                 raise BadRequest(431)
-            if self._reading and self._raw > MOST_RAW:
-                raise BadRequest(413)  # guards: trailers and chunk headers are no body, and have no end
+            if self._raw > MOST_RAW:
+                # guards: trailers and chunk headers are no body and have no end, nor have empty lines between
+                raise BadRequest(413)
         except httptools.HttpParserUpgrade:
             self._keep = False  # no other protocol is spoken here
             if self._reading:
@@ -317,8 +320,29 @@
         self._over = True
         transport = self.transport
         if transport is not None and not transport.is_closing():
-            transport.write_eof()
-            self.clients.loop.call_later(LINGER, transport.close)
+            if transport.get_write_buffer_size():
+                transport.write_eof()
+            else:
+                shut(transport)
+            self.clients.loop.call_later(LINGER, self._lingered)
+
+    def _lingered(self) -> None:
+        """Close, once its client's machine has all of the answer; who reads too slowly is cut as such."""
+        # guards: what comes after a close is answered by a reset, which takes along what the machine holds
+        if self.holding():
+            self.clients.loop.call_later(SETTLED, self._lingered)
+        else:
+            self.drop()
+
+    def holding(self) -> bool:
+        """Whether a part of what was written is not with its client's machine."""
+        transport = self.transport
+        return transport is not None and not transport.is_closing() and bool(
+            transport.get_write_buffer_size() or unacknowledged(transport))
+
+    def unread(self) -> bool:
+        """Whether a request, or a part of one, may lie in its socket."""
+        return not self._over and self.transport is not None and unread(self.transport, select.POLLIN)
 
     def gone(self) -> bool:
         """Whether its client has gone, even if that still lies unread in the socket."""
@@ -350,7 +374,8 @@
         return now - self.since > (SLOW if self._reading or self._over else IDLE if self.asked else SILENT)
 
     def drop(self) -> None:
-        if self.transport is not None:
+        if self.transport is not None and not self.transport.is_closing():
+            drain(self.transport)
             self.transport.abort()
 
 
@@ -419,7 +444,9 @@
         found = [(-rank, c.since, c) for rank, c in spare
                  if now - c.since > (silent_for if rank == 1 else SETTLED)]
         silent = len(self._coming) + sum(rank == 1 for rank, _ in spare)
-        client = min(found, key=lambda entry: entry[:2])[2] if found else None
+        # guards: what it asks may have come since sockets were last read
+        client = next((c for _, _, c in sorted(found, key=lambda entry: entry[:2])
+                       if not c.unread() and not c.holding()), None)
         if client is None or (client.spare() == 0 and silent > self.most_open // 4):
             return False  # guards: a flood of silent ones must not cost the usual clients theirs
         self.door.counts["made_room"] += 1
@@ -441,6 +468,11 @@
         """Cut off clients that are silent for too long."""
         now = self.loop.time()
         for client in [c for c in self.open if c.overdue(now)]:
+            if not client.spared and client.unread():
+                # guards: what came since sockets were last read lies there. After a long pass all that had
+                # waited would be cut, with whole requests in their sockets
+                client.spared = True
+                continue
             self.door.counts["cut_slow"] += 1
             client.drop()
         while len(self.open) > self.most_open // 2 and self._make_room(SETTLED):
@@ -461,8 +493,8 @@
         return drained
 
     def sending(self) -> bool:
-        """Whether an answer has not left our buffers."""
-        return any(c.transport is not None and c.transport.get_write_buffer_size() for c in self.open)
+        """Whether an answer is not yet with its client's machine."""
+        return any(client.asked and client.holding() for client in self.open)
 
     def _shut(self) -> None:
         sock, self._socket = self._socket, None
--- a/ospreyline/net/upstreams.py
+++ b/ospreyline/net/upstreams.py
@@ -17,6 +17,7 @@
 
 from ospreyline.facts import REPORT_WORDS
 from ospreyline.host import End
+from ospreyline.net.sockets import failed
 
 MOST_BODY = 65_536
 MOST_HEAD = 32_768
@@ -254,7 +255,9 @@
         errand.end(answer)
 
     def eof_received(self) -> bool:
-        if self.errand is not None and self._ends_with_it:
+        # guards: the loop library takes a reset that comes right behind bytes for an end, and it is none
+        if self.errand is not None and self._ends_with_it and self.transport is not None \
+                and not failed(self.transport):
             self.on_message_complete()  # an answer without a length lasts until the end
             self._finish(self.errand, keep=False)
         return False
@@ -374,7 +377,8 @@
             errand.cut(Why.BROKEN)
         else:
             errand.opening = None
-            if conn.transport is None or conn.transport.is_closing():
+            # guards: an upstream that died right after it accepted; written on, the request might have run
+            if conn.transport is None or unread(conn.transport, select.POLLIN):
                 errand.cut(Why.BROKEN)
             elif pool.clock() >= errand.expires:
                 # guards: after this process stood still its connection shows before its time-out does
