The last look falls right before the upstream sees something; time left by the clock of the write

Not so: a long turn as such (each send had its look), a connection that came up, a hold, a repeat, a burst of 300. - Takeover: a client that left while its request waited for a permit, without leave to cancel, left the visit and its id behind for good (`Covering.goes_on` had told the guardians that it is over, so no word came). A visit that went on without its client made further attempts (`Turn._left` took `left` back). - Time left: written with the turn's clock on a kept connection (a long turn told 300 ms too much), at least 1 ms whatever was left, and counted from when the request was read, however long it lay in its socket or in the listener's queue (`Turn._take`).

Changed: `Peer._may_begin` is the one look, before a connection is opened, before the first byte on a new one and on a kept one; it takes the clock anew, and what has no time left is unsent, no failure of its upstream. What is told is rounded down. A send's end counts from its turn. The system's own word for when the last bytes came (TCP_INFO; 1.3 us a request here) is taken off the time; where it tells nothing, as before. `Peer.run` takes no time any more: two calls in tests/test_upstreams.py were changed for that alone.

--- a/ospreyline/net/clients.py
+++ b/ospreyline/net/clients.py
@@ -10,6 +10,7 @@
 import re
 import select
 import socket
+import struct
 from collections import Counter, deque
 from dataclasses import dataclass
 from http import HTTPStatus
@@ -34,6 +35,7 @@
 OWN = -1  # in place of a path prefix: answered by the balancer itself
 ONCE_FIELDS = frozenset((b"x-trace-id", b"x-qos", b"idempotency-key", b"x-expires-in", b"content-length",
                          b"transfer-encoding", b"host"))
+LAST_RECEIVED = struct.Struct("52xI")  # tcpi_last_data_recv of the system's `struct tcp_info`
 ID = re.compile(rb"[!-~]{1,128}")  # of a request
 
 
@@ -326,6 +328,17 @@
         # stopped, a request would go on whose client left long ago
         return self.transport is None or unread(self.transport, select.POLLRDHUP)
 
+    def waited(self) -> float:
+        """How long ago, in ms, its last bytes came to this machine, as far as the system tells; else 0."""
+        if self.transport is None or self.transport.is_closing():
+            return 0.0
+        try:
+            told = self.transport.get_extra_info("socket").getsockopt(
+                socket.IPPROTO_TCP, socket.TCP_INFO, LAST_RECEIVED.size)
+            return float(LAST_RECEIVED.unpack(told)[0])
+        except (OSError, struct.error):
+            return 0.0  # guards: a system that does not tell it, or tells less
+
     def eof_received(self) -> bool:
         self._gone()
         return False  # closes the connection
--- a/ospreyline/net/covering.py
+++ b/ospreyline/net/covering.py
@@ -93,13 +93,13 @@
             self.takeover.held(now, taken.tag)
 
     def may_write(self, now: float, taken: Taken, number: int, upstream: int, times: int,
-                  time_out: float) -> bool:
+                  until: float) -> bool:
         """Whether a fetch may be written now; else it is when its permit comes."""
         zone, cell = self._turn.place(upstream)
         if self.takeover.send(now, taken.tag, number, zone, cell, now <= self._turn.stood_to):
             self._speak()
             return True
-        self._waiting[taken.tag] = (self._turn.write, (taken, number, upstream, times, now + time_out))
+        self._waiting[taken.tag] = (self._turn.write, (taken, number, upstream, times, until))
         self._speak()
         return False
 
--- a/ospreyline/net/turn.py
+++ b/ospreyline/net/turn.py
@@ -63,9 +63,9 @@
         self.client = client
         self.handle: Visit | None = None
         self.errands: list[Errand | None] = []
-        self.came = 0.0
+        self.came = 0.0  # its last byte to this machine, as far as the system tells
         self.answered = False
-        self.left = False  # its client has, and nothing goes on without
+        self.left = False  # its client has, and nothing begins without
         self.timed_out = False  # its latest errand
         self.late: asyncio.TimerHandle | None = None
 
@@ -300,6 +300,7 @@
         self._tags += 1
         terms = self._post.terms.prefixes[request.prefix]
         taken = self.visits[self._tags] = Taken(self._tags, request, terms, client)
+        taken.came = clock() - client.waited()
         client.tag = self._tags
         self.note(self._take, taken)
         return True
@@ -322,15 +323,18 @@
             self._drop(taken)
             return
         self.counts["visits"] += 1
-        taken.came = now
         request, terms = taken.request, taken.terms
         left = terms.client_timeout
         if request.time_left is not None:
             left = min(left, request.time_left)
+        # guards: what lay in its socket while the loop was late, or in the listener's queue, has less left;
+        # an upstream was told more, and its client answered after its time
+        waited = now - taken.came
         if now <= self.stood_to:
             # guards: a request that waited in its socket while this process was stopped would be sent on for
-            # a client that has gone; when it came cannot be told, so all of that time counts as waited
-            left -= now - self._stood_from
+            # a client that has gone; where the system does not tell when it came, all of that time counts
+            waited = max(waited, now - self._stood_from)
+        left -= waited
         taken.late = self._loop.call_later(max(0.0, left + BACKSTOP) / 1e3, self.note, self._overdue, taken)
         if self.covering is None or self.covering.begins(now, taken, left, terms.kind):
             self.decide(now, taken, left, ())
@@ -375,17 +379,19 @@
             return  # guards: another connection of its client has been joined to it since
         if self.covering is not None and not taken.answered:
             if self.covering.goes_on(now, taken, taken.terms.kind):
-                taken.left = False
-                return
+                return  # what was begun goes on; nothing further begins, unless it is asked for again
             if taken.handle is None:
                 self._drop(taken)
         if taken.handle is not None:
             self.counts["clients_left"] += not taken.answered
             taken.answered = True
             taken.handle.left(now)
-            for errand in taken.errands:
+            for number, errand in enumerate(taken.errands):
                 if errand is not None:
                     errand.withdraw()
+                elif self.covering is not None and self.covering.called_off(taken, number):
+                    # guards: its guardians were told that it is over, so no word comes; it stayed for good
+                    self.note(self.ended, taken, number, Cut(Stage.CONNECTING, Why.WITHDRAWN))
             self._settle(taken)
 
     def _overdue(self, now: float, taken: Taken) -> None:
@@ -455,9 +461,9 @@
     # -- upstreams ----------------------------------------------------------------------------------------
 
     def _start(self, now: float, taken: Taken, number: int, upstream: int, times: int,
-               time_out: float) -> None:
-        if self.covering is None or self.covering.may_write(now, taken, number, upstream, times, time_out):
-            self.write(now, taken, number, upstream, times, now + time_out)
+               until: float) -> None:
+        if self.covering is None or self.covering.may_write(now, taken, number, upstream, times, until):
+            self.write(now, taken, number, upstream, times, until)
 
     def write(self, now: float, taken: Taken, number: int, upstream: int, times: int, until: float) -> None:
         """A fetch goes out that may take until then, to the upstream as it was when it was chosen."""
@@ -467,7 +473,7 @@
         errand = taken.errands[number] = Errand(
             request.head(), request.body, now, time_out, request.method == b"HEAD",
             lambda outcome: self.note(self.ended, taken, number, outcome), taken.wanted)
-        self.upstreams.peers[upstream].run(errand, now)
+        self.upstreams.peers[upstream].run(errand)
 
     def _call_off(self, now: float, taken: Taken, number: int) -> None:
         errand = taken.errands[number]
@@ -482,7 +488,7 @@
         head = b"GET %b HTTP/1.1\r\nHost: %b:%d\r\n" % (path, peer.at[0].encode(), peer.at[1])
         errand = Errand(head, b"", now, PROBE_TIME_OUTS * self._post.connect_time_out, False,
                         lambda outcome: self.note(self._probed, upstream, now, outcome))
-        peer.run(errand, now)
+        peer.run(errand)
 
     def _probed(self, now: float, upstream: int, sent: float, outcome: Answer | Cut) -> None:
         report: tuple[float, ...] = ()
@@ -642,7 +648,9 @@
         taken = self.visits[tag]
         taken.errands.append(None)
         times = self.upstreams.peers[upstream].times
-        self._to_do.append((self._start, (taken, len(taken.errands) - 1, upstream, times, time_out)))
+        # guards: counted from when it was decided, whenever it is carried out
+        until = self._turned + time_out
+        self._to_do.append((self._start, (taken, len(taken.errands) - 1, upstream, times, until)))
 
     def cancel(self, tag: int, fetch: int) -> None:
         if (taken := self.visits.get(tag)) is not None:
--- a/ospreyline/net/upstreams.py
+++ b/ospreyline/net/upstreams.py
@@ -23,6 +23,7 @@
 MOST_ANSWER = 1 << 20  # bytes of an answer's body
 MOST_RAW = MOST_HEAD + 8 * MOST_BODY  # one message as sent: small chunks cost several times their content
 SETTLE = 25.0  # ms after an answer in which what came behind it, or its connection's end, shows
+LEAST = 1.0  # ms of an errand's time with which it is still begun; what is left is told in whole ones
 KEEP_SHARE = 0.8  # of the time that an upstream keeps an idle connection: ours are closed earlier
 MOST_UTIL, MOST_FIGURE = 4.0, 1e5  # of a load report
 HOP_BY_HOP = frozenset((
@@ -198,12 +199,12 @@
         return self.transport is not None and self.transport.get_write_buffer_size() == 0
 
     def start(self, errand: Errand, now: float) -> None:
-        """Write the request; what is left of its time-out goes along."""
+        """Write the request; what is left of its time-out by now goes along, and no more than that."""
         assert self.transport is not None
         self.errand, errand.conn = errand, self
         errand.stage = Stage.WRITING
-        left = max(1.0, errand.expires - now) / 1e3
-        self.transport.write(b"%bX-Expires-In: %.3f\r\n\r\n%b" % (errand.head, left, errand.body))
+        left = int(errand.expires - now)
+        self.transport.write(b"%bX-Expires-In: %.3f\r\n\r\n%b" % (errand.head, left / 1e3, errand.body))
         if self.written():
             errand.stage = Stage.WRITTEN
 
@@ -334,33 +335,48 @@
         self.idle: list[Conn] = []  # last used last
         self.errands: dict[Errand, None] = {}
 
-    def run(self, errand: Errand, now: float) -> None:
+    def run(self, errand: Errand) -> None:
         errand.peer = self
         self.errands[errand] = None
+        now = self.pool.clock()  # guards: a turn may be long, and what it began with is no more what is left
         errand.timer = self.pool.loop.call_later(
             max(0.0, errand.expires - now) / 1e3, self._expire, errand)
-        # guards: between choosing and writing the list can change, and the client can go
-        if self.withdrawn or not errand.wanted():
+        if self.withdrawn or errand.expires - now < LEAST:
             errand.cut(Why.WITHDRAWN)
             return
         for conn in reversed(self.idle):
             if now - conn.used < SETTLE:
                 continue  # guards: a second answer behind the last one would be taken for this one's
-            self.idle.remove(conn)
             # guards: an end, or a second answer, that has come and was not read yet would be this one's
-            if conn.transport is not None and now - conn.used < self.pool.keep_idle \
-                    and not unread(conn.transport, select.POLLIN):
-                conn.start(errand, now)
-                return
-            conn.close()
+            if conn.transport is None or now - conn.used >= self.pool.keep_idle \
+                    or unread(conn.transport, select.POLLIN):
+                conn.close()
+                continue
+            if self._may_begin(errand):
+                self.idle.remove(conn)
+                conn.start(errand, self.pool.clock())
+            return
         if not self.pool.has_room():
             errand.cut(Why.WITHDRAWN)
             return
         errand.opening = self.pool.loop.create_task(self._open(errand))
 
+    def _may_begin(self, errand: Errand) -> bool:
+        """The last look before an upstream sees something of an errand, its connection or its first byte."""
+        # guards: between choosing and this lie a turn, passes of the loop, maybe a stop of this process; the
+        # client can have left meanwhile, and its time can be over. No upstream is to blame for that
+        if errand.wanted() and errand.expires - self.pool.clock() >= LEAST:
+            return True
+        errand.cut(Why.WITHDRAWN)
+        return False
+
     async def _open(self, errand: Errand) -> None:
         """Connect for an errand; a connection that comes too late for it is closed."""
         pool = self.pool
+        opening, errand.opening = errand.opening, None
+        if not self._may_begin(errand):
+            return
+        errand.opening = opening
         conn = Conn(self)
         pool.open[conn] = None
         try:
@@ -376,12 +392,10 @@
             errand.opening = None
             if conn.transport is None or conn.transport.is_closing():
                 errand.cut(Why.BROKEN)
-            elif pool.clock() >= errand.expires:
+            elif errand.expires - pool.clock() < LEAST:
                 # guards: after this process stood still its connection shows before its time-out does
                 errand.cut(Why.NO_CONNECTION)
-            elif not errand.wanted():
-                errand.cut(Why.WITHDRAWN)  # guards: its client left while its connection came up
-            elif errand.done is not None:
+            elif errand.done is not None and self._may_begin(errand):
                 conn.start(errand, pool.clock())
         finally:
             if conn.errand is None:
--- a/tests/test_upstreams.py
+++ b/tests/test_upstreams.py
@@ -182,7 +182,7 @@
             results: list[Answer | Cut] = []
             now = clock()
             for _ in range(2):
-                upstream.run(Errand(b"GET / HTTP/1.1\r\n", b"", now, 5_000, False, results.append), now)
+                upstream.run(Errand(b"GET / HTTP/1.1\r\n", b"", now, 5_000, False, results.append))
             await peer.until(lambda: len(peer.requests) == 2)
             peer.writers[0].write(ok())
             while not upstream.idle:
@@ -202,9 +202,9 @@
             upstream = service.turn.upstreams.peers[0]
             results: list[Answer | Cut] = []
             now = clock()
-            upstream.run(Errand(b"GET / HTTP/1.1\r\n", b"", now, 1_000, False, results.append), now)
+            upstream.run(Errand(b"GET / HTTP/1.1\r\n", b"", now, 1_000, False, results.append))
             service.turn.upstreams.listed(0, upstream.at, 0.0, ready=False)
-            upstream.run(Errand(b"GET / HTTP/1.1\r\n", b"", now, 1_000, False, results.append), now)
+            upstream.run(Errand(b"GET / HTTP/1.1\r\n", b"", now, 1_000, False, results.append))
             assert [end_of(result) for result in results] == [End.UNSENT, End.UNSENT]
 
     play(story)
