What is ended while it lies in our buffer can no longer leave us whole in the same pass

Seen (loopback, order forced): an attempt of which a last piece lay in our buffer was ended, by its time-out or because its client left, in the pass in which its upstream's machine took more. `Conn.close` aborts the transport, which uvloop closes a pass later; libuv wrote the rest in between, so the request was whole at the upstream and had been told as never sent (UNREACHED, UNSENT): one that may not run twice is sent again after a time-out. Ruled out by a probe: a withdrawal in the very callback that reads the leaving, and a look at all that is being written when an alarm is late; libuv wrote the rest before either, whichever event came first.

Changed: `Conn.close` shuts such a socket down at once. What libuv writes in the pass that reads the leaving stays as it is: its first byte had gone before, and the loop library's own writes cannot be held back.

--- a/ospreyline/net/upstreams.py
+++ b/ospreyline/net/upstreams.py
@@ -8,7 +8,9 @@
 
 import asyncio
 import select
+import socket
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import dataclass
 from enum import Enum, IntEnum
 from typing import Any, cast
@@ -215,8 +217,16 @@
     def close(self) -> None:
         self.errand = None
         self.peer.forget(self)
-        if self.transport is not None:
-            self.transport.abort()
+        if self.transport is None:
+            return
+        if not (self.transport.is_closing() or self.written()):
+            # guards: the loop closes it a pass later, and in that pass what lay in our buffer, told as never
+            # sent, could leave us whole
+            sock = socket.socket(fileno=self.transport.get_extra_info("socket").fileno())
+            with suppress(OSError):
+                sock.shutdown(socket.SHUT_RDWR)
+            sock.detach()
+        self.transport.abort()
 
     # what comes back
 
