Descriptors are counted until they are free; who makes room has nothing unread

Seen by forcing the order over loopback: a burst at the listener made room again and again in one pass, in which nothing is closed yet, and went over the clients' part by as many as were idle (24 where 16 are allowed); the sends of one turn all saw the same room at the upstreams (8 connections where 4 are allowed); a connection that makes room was reset with a whole request unread in it; and one more made room than had come.

clients.py: those that make room count until they are closed, the pass after accepts the next; candidates with something unread are passed over. upstreams.py: a connection counts from its send on. Ruled out: calls to discovery (three at most in every order of five events), the put-off of 20 ms, leaks (14 descriptors before and after, discovery refusing, hanging or never up).

--- a/ospreyline/net/clients.py
+++ b/ospreyline/net/clients.py
@@ -338,6 +338,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.clients.open.pop(self, None)
+        self.clients.closing.pop(self, None)
         self._parser = None  # guards: the two would wait for the collector together
         self._over = True
         self._waiting.clear()
@@ -362,6 +363,7 @@
         self.door = door
         self.most_open = most_open
         self.open: dict[Client, None] = {}
+        self.closing: dict[Client, None] = {}  # to make room; their descriptors are free in the next pass
         self._coming: set[asyncio.Task[None]] = set()
         self._socket: socket.socket | None = None
 
@@ -380,14 +382,14 @@
 
         False where something may be waiting still.
         """
-        sock = self._socket
+        sock, accepted = self._socket, False
         while sock is not None:
-            here = len(self.open) + len(self._coming)
-            # guards: those that ask once and stay, or say nothing, hold what clients may open at all, and the
-            # usual ones are kept out long before our own limit; so half of it is where room is made
-            if here >= self.most_open // 2 and not self._make_room(SETTLED) \
-                    and here >= self.most_open and not self._make_room(FRESH):
-                self._put_off(sock)
+            here = len(self.open) + len(self._coming) + len(self.closing)
+            if here >= self.most_open:
+                # guards: the descriptor of who makes room is free in the next pass only, and the loop calls
+                # again then; taken at once, a burst went over the limit by as many as could make room
+                if not accepted and not self._make_room(SETTLED) and not self._make_room(FRESH):
+                    self._put_off(sock)
                 return False
             try:
                 conn, _ = sock.accept()
@@ -399,10 +401,15 @@
                 self._put_off(sock)
                 return False
             conn.setblocking(False)
+            accepted = True
             self.door.counts["accepted"] += 1
             task = self.loop.create_task(self._admit(conn))
             self._coming.add(task)
             task.add_done_callback(self._coming.discard)
+            # guards: those that ask once and stay, or say nothing, hold what clients may open at all, and the
+            # usual ones are kept out long before our own limit; so half of it is where room is made
+            if here >= self.most_open // 2:
+                self._make_room(SETTLED)
         return True
 
     async def _admit(self, conn: socket.socket) -> None:
@@ -419,11 +426,15 @@
         found = [(-rank, c.since, c) for rank, c in spare
                  if now - c.since > (silent_for if rank == 1 else SETTLED)]
         silent = len(self._coming) + sum(rank == 1 for rank, _ in spare)
-        client = min(found, key=lambda entry: entry[:2])[2] if found else None
+        found.sort(key=lambda entry: entry[:2])
+        # guards: after a late pass the listener may be read before a request that has come to one of them
+        client = next((c for rank, _, c in found if rank == -2 or (
+            c.transport is not None and not unread(c.transport, select.POLLIN))), None)
         if client is None or (client.spare() == 0 and silent > self.most_open // 4):
             return False  # guards: a flood of silent ones must not cost the usual clients theirs
         self.door.counts["made_room"] += 1
         self.open.pop(client, None)
+        self.closing[client] = None
         client.drop()
         return True
 
--- a/ospreyline/net/upstreams.py
+++ b/ospreyline/net/upstreams.py
@@ -356,13 +356,15 @@
         if not self.pool.has_room():
             errand.cut(Why.WITHDRAWN)
             return
-        errand.opening = self.pool.loop.create_task(self._open(errand))
+        # guards: counted from now on, or all sends of one turn would see the same room
+        conn = Conn(self)
+        self.pool.open[conn] = None
+        errand.opening = self.pool.loop.create_task(self._open(errand, conn))
+        errand.opening.add_done_callback(lambda task: conn.close() if task.cancelled() else None)
 
-    async def _open(self, errand: Errand) -> None:
+    async def _open(self, errand: Errand, conn: Conn) -> None:
         """Connect for an errand; a connection that comes too late for it is closed."""
         pool = self.pool
-        conn = Conn(self)
-        pool.open[conn] = None
         try:
             async with asyncio.timeout(pool.connect_time_out / 1e3):
                 await self._connect(conn)
--- /dev/null
+++ b/tests/test_descriptors.py
@@ -0,0 +1,322 @@
+"""Idle clients fill the descriptors, discovery is down: what still has room, and what is closed for it."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import socket
+import sys
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager, suppress
+from functools import partial
+from itertools import product
+from pathlib import Path
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+from stand_ins import Caller, Peer, Registry, caller, configuration, ok, request, running, target
+from test_clients import play
+
+from ospreyline.net import clients, upstreams
+from ospreyline.net.discovery import Discovery, News
+
+HEALTH = b"GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n"
+
+
+def descriptors(pid: int | str = "self") -> int:
+    return len(os.listdir(f"/proc/{pid}/fd"))
+
+
+def waiting(service, count: int) -> list[socket.socket]:
+    """Connections that have come up in the listener's queue, before a pass of the loop."""
+    found = []
+    for _ in range(count):
+        found.append(socket.create_connection(service.at))
+        found[-1].setblocking(False)
+    return found
+
+
+async def until(holds: Callable[[], bool]) -> None:
+    async with asyncio.timeout(5):
+        while not holds():
+            await asyncio.sleep(0.001)
+
+
+# in one pass: forced
+
+
+@pytest.mark.parametrize("asked", [True, False])
+def test_who_makes_room_counts_until_its_descriptor_is_free(asked, monkeypatch):
+    # room was made again and again in one pass, in which nothing is closed: over the limit by half of it
+    async def story():
+        async with running(Peer(), sockets=64) as service:
+            most = service.turn.most_clients
+            idle = [await caller(service) for _ in range(most // 2)]
+            for client in idle:
+                if asked:
+                    assert (await client.ask(request()))[0] == 200
+            await until(lambda: len(service.clients.open) == most // 2)
+            for name in ("SETTLED", "FRESH"):
+                monkeypatch.setattr(clients, name, -1.0)
+            here = descriptors() - most // 2
+            new = waiting(service, 2 * most)
+            service.clients.accept()
+            assert descriptors() - len(new) - here <= most
+            for sock in new:
+                sock.close()
+
+    play(story)
+
+
+def test_sends_of_one_turn_open_no_more_connections_than_there_is_room_for(monkeypatch):
+    # a connection counted from the pass after; the sends of a turn each saw the same room
+    async def story():
+        monkeypatch.setattr(upstreams, "SETTLE", 1e9)  # none that has answered is used again
+        async with running(Peer(), sockets=64) as service:
+            pool = service.turn.upstreams
+            pool.most_open = 4
+            callers = [await caller(service) for _ in range(8)]
+            for client in callers[:4]:
+                assert (await client.ask(request()))[0] == 200
+            await until(lambda: len(pool.open) == 4)
+            here, opened, connect = descriptors(), [], upstreams.Peer._connect
+
+            async def connecting(peer, conn):
+                opened.append(conn)
+                await connect(peer, conn)
+
+            monkeypatch.setattr(upstreams.Peer, "_connect", connecting)
+            for client in callers:
+                client.writer.write(request())
+            assert {(await client.answer())[0] for client in callers} <= {200, 503}
+            assert 0 < len(opened) <= 4 and len(pool.open) <= 4
+            await until(lambda: descriptors() <= here)
+
+    play(story)
+
+
+@pytest.mark.parametrize("turn", ["same", "next"])
+def test_a_send_that_ends_before_its_connection_begins_leaves_nothing_open(turn):
+    async def story():
+        async with running(Peer(), sockets=64) as service:
+            pool = service.turn.upstreams
+            here, ended = descriptors(), []
+            errand = upstreams.Errand(b"GET / HTTP/1.1\r\n", b"", pool.clock(), 1e3, False, ended.append)
+            pool.peers[0].run(errand, pool.clock())
+            assert len(pool.open) == 1
+            if turn == "next":
+                await asyncio.sleep(0)
+            errand.cut(upstreams.Why.CALLED_OFF)
+            await until(lambda: not pool.open and descriptors() == here)
+            assert len(ended) == 1
+
+    play(story)
+
+
+@pytest.mark.parametrize("asked", [True, False])
+def test_who_makes_room_has_nothing_unread(asked, monkeypatch):
+    # after a late pass the listener may be read before a request that lies in a connection's socket
+    async def story():
+        async with running(Peer(), sockets=64) as service:
+            most = service.turn.most_clients
+            held = [await caller(service) for _ in range(most // 2)]
+            if asked:
+                for client in held:
+                    assert (await client.ask(request()))[0] == 200
+            await until(lambda: len(service.clients.open) == most // 2)
+            for name in ("SETTLED", "FRESH"):
+                monkeypatch.setattr(clients, name, -1.0)
+            for client in held[:-1]:
+                # at once in the socket, unread by us
+                os.write(client.writer.get_extra_info("socket").fileno(), request())
+            new = waiting(service, 1)
+            service.clients.accept()
+            for client in held[:-1]:
+                assert (await client.answer())[0] == 200
+            assert await held[-1].reader.read() == b""
+            assert service.turn.counts["made_room"] == 1
+            new[0].close()
+
+    play(story)
+
+
+# calls to discovery
+
+
+class Mute:
+    """In place of the loop: connections that never come up."""
+
+    def __init__(self) -> None:
+        self.create_task = lambda call: call.close() or SimpleNamespace(cancel=lambda: None)
+
+    def time(self) -> float:
+        return 0.0
+
+
+def test_calls_to_discovery_are_three_at_the_most_whatever_crosses():
+    # every order of five: the decisions ask, it moves, a call says something new, a call ends
+    log, most = SimpleNamespace(info=lambda *_, **__: None, warning=lambda *_, **__: None), 0
+    for steps in product(range(8), repeat=5):
+        calls = Discovery(Mute(), ("h", 1), 1, log, lambda news: None, lambda wait: None)
+        calls.watch(True)
+        for rev, step in enumerate(steps, 2):
+            news = News(rev, False, [])
+            kinds = [partial(calls.watch, True), partial(calls.move, ("h", 2))]
+            for call in calls._calls:
+                kinds += [partial(calls.told, call, news), partial(calls.ended, call, "x")]
+            if step >= len(kinds):
+                break
+            kinds[step]()
+            most = max(most, len(calls._calls))
+    assert most == 3
+
+
+# a process, with its descriptors as the machine counts them
+
+
+class Running:
+    """`serve` in a process of its own."""
+
+    def __init__(self, process: asyncio.subprocess.Process, file: Path) -> None:
+        self.process, self.file = process, file
+        self.log: list[dict[str, Any]] = []
+        self.most = self.own = 0
+        self.at = ("", 0)
+
+    def open(self) -> int:
+        now = descriptors(self.process.pid)
+        self.most = max(self.most, now)
+        return now
+
+    async def read(self) -> None:
+        assert self.process.stdout is not None
+        while line := await self.process.stdout.readline():
+            self.log.append(json.loads(line))
+
+    async def says(self, event: str) -> dict[str, Any]:
+        await until(lambda: any(line["event"] == event for line in self.log))
+        return next(line for line in self.log if line["event"] == event)
+
+    async def caller(self) -> Caller:
+        return Caller(*await asyncio.open_connection(*self.at))
+
+
+@asynccontextmanager
+async def serving(tmp_path: Path, peer: Peer, registry: int, **more: Any) -> AsyncIterator[Running]:
+    file = tmp_path / "config.json"
+    told = configuration([target("u0", peer.port)], registry, sockets=64, **more)
+    told["settings"]["Invariants"] = {"MustAskInUs": 1_000_000}
+    file.write_text(json.dumps(told))
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-m", "ospreyline", "serve", str(file), stdout=asyncio.subprocess.PIPE)
+    one = Running(process, file)
+    reading = asyncio.ensure_future(one.read())
+    try:
+        where = (await one.says("serving"))["listen"].rpartition(":")
+        one.at = where[0], int(where[2])
+        one.own = one.open()
+        yield one
+    finally:
+        with suppress(ProcessLookupError):
+            process.kill()
+        await process.wait()
+        await reading
+
+
+class Away:
+    """Discovery before it is there: connections are `refused`, come up and are `mute`, or `never` come up."""
+
+    def __init__(self, kind: str) -> None:
+        self.sock = socket.socket()
+        self.sock.bind(("127.0.0.1", 0))
+        self.port = self.sock.getsockname()[1]
+        self.fill: list[socket.socket] = []
+        if kind == "mute":
+            self.sock.listen(64)
+        elif kind == "never":
+            self.sock.listen(0)
+            for _ in range(4):
+                self.fill.append(socket.socket())
+                self.fill[-1].setblocking(False)
+                self.fill[-1].connect_ex(self.sock.getsockname())
+
+    def called(self) -> bool:
+        """Whether a call hangs here."""
+        lines = Path("/proc/net/tcp").read_text().splitlines()[1:]
+        return sum(line.split()[2].endswith(f":{self.port:04X}") for line in lines) > len(self.fill)
+
+    async def back(self) -> Registry:
+        for sock in self.fill:
+            sock.close()
+        registry = Registry()
+        registry.server = await asyncio.start_server(registry._serve, sock=self.sock)
+        registry.port = self.port
+        return registry
+
+
+@pytest.mark.parametrize("idle", ["asked", "silent"])
+@pytest.mark.parametrize("away", ["refused", "mute", "never"])
+def test_idle_clients_fill_the_descriptors_while_discovery_is_away(away, idle, tmp_path):
+    async def story():
+        peers = await Peer(ok(b"0")).start(), await Peer(ok(b"1")).start()
+        discovery = Away(away)
+        async with serving(tmp_path, peers[0], discovery.port) as one:
+            usual = await one.caller()
+            assert (await usual.ask(request()))[2] == b"0"
+            await (one.says("call to discovery failed") if away == "refused" else until(discovery.called))
+            usual.writer.close()
+            crowd = []
+            for _ in range(48):  # three times what clients may open
+                crowd.append(await one.caller())
+                if idle == "asked":
+                    crowd[-1].writer.write(request())
+                one.open()
+            for path in (HEALTH, request()):  # who comes with something to ask is served beside them
+                late = await one.caller()
+                assert (await late.ask(path))[0] == 200
+                crowd.append(late)
+                one.open()
+            assert (await crowd[-1].ask(request()))[0] == 200  # on the connection that is open
+            registry = await discovery.back()
+            await registry.tell(9, target("u0", peers[0].port, state="leaving"), target("u1", peers[1].port))
+            await until(lambda: any(line.get("uid") == "u1" for line in one.log))
+            assert (await (await one.caller()).ask(request()))[2] == b"1"
+            assert one.open() <= one.most <= 64
+            for client in crowd:
+                client.writer.close()
+            # nothing is left but a watch, and a connection kept to each of the two
+            await until(lambda: one.open() <= one.own + 3)
+        for peer in peers:
+            peer.server.close()
+
+    play(story)
+
+
+def test_idle_clients_that_come_again_at_once_keep_out_nobody_with_a_request(tmp_path):
+    async def story():
+        peer = await Peer().start()
+        async with serving(tmp_path, peer, Away("refused").port) as one:
+            crowd = {}
+
+            async def stays(number: int) -> None:
+                while True:
+                    with suppress(ConnectionError):
+                        client = crowd[number] = await one.caller()
+                        await client.reader.read()
+                        client.writer.close()
+
+            staying = [asyncio.ensure_future(stays(number)) for number in range(48)]
+            await until(lambda: len(crowd) == 48)
+            for _ in range(10):
+                late = await one.caller()
+                async with asyncio.timeout(1.0):  # half of its time
+                    assert (await late.ask(request()))[0] == 200
+                one.open()
+            assert one.most <= 64
+            for task in staying:
+                task.cancel()
+        peer.server.close()
+
+    play(story)
