--- a/ospreyline/net/sockets.py
+++ b/ospreyline/net/sockets.py
@@ -34,13 +34,13 @@
         lent.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR))
 
 
-def shut(transport: asyncio.BaseTransport) -> None:
-    """End our sending, at once; nothing may be in the transport's buffer.
+def shut(transport: asyncio.BaseTransport, how: int = socket.SHUT_WR) -> None:
+    """End our sending, or both ways, at once; what is in the transport's buffer never leaves it.
 
     Guards: the loop library does it a pass later, after it has read what came meanwhile.
     """
     with suppress(OSError), _below(transport) as sock:  # it may be gone already, which the loop will read
-        sock.shutdown(socket.SHUT_WR)
+        sock.shutdown(how)
 
 
 def unacknowledged(transport: asyncio.BaseTransport) -> int:
--- a/ospreyline/net/upstreams.py
+++ b/ospreyline/net/upstreams.py
@@ -10,7 +10,6 @@
 import select
 import socket
 from collections.abc import Callable
-from contextlib import suppress
 from dataclasses import dataclass
 from enum import Enum, IntEnum
 from typing import Any, cast
@@ -19,7 +18,7 @@
 
 from ospreyline.facts import REPORT_WORDS
 from ospreyline.host import End
-from ospreyline.net.sockets import failed
+from ospreyline.net.sockets import failed, shut
 
 MOST_BODY = 65_536
 MOST_HEAD = 32_768
@@ -223,10 +222,7 @@
         if not (self.transport.is_closing() or self.written()):
             # guards: the loop closes it a pass later, and in that pass what lay in our buffer, told as never
             # sent, could leave us whole
-            sock = socket.socket(fileno=self.transport.get_extra_info("socket").fileno())
-            with suppress(OSError):
-                sock.shutdown(socket.SHUT_RDWR)
-            sock.detach()
+            shut(self.transport, socket.SHUT_RDWR)
         self.transport.abort()
 
     # what comes back
@@ -372,7 +368,11 @@
         if not self.pool.has_room():
             errand.cut(Why.WITHDRAWN)
             return
-        errand.opening = self.pool.loop.create_task(self._open(errand))
+        # guards: counted from now on, or all sends of one turn would see the same room
+        conn = Conn(self)
+        self.pool.open[conn] = None
+        errand.opening = self.pool.loop.create_task(self._open(errand, conn))
+        errand.opening.add_done_callback(lambda task: conn.close() if task.cancelled() else None)
 
     def _may_begin(self, errand: Errand) -> bool:
         """The last look before an upstream sees something of an errand, its connection or its first byte."""
@@ -383,15 +383,13 @@
         errand.cut(Why.WITHDRAWN)
         return False
 
-    async def _open(self, errand: Errand) -> None:
+    async def _open(self, errand: Errand, conn: Conn) -> None:
         """Connect for an errand; a connection that comes too late for it is closed."""
         pool = self.pool
         opening, errand.opening = errand.opening, None
         if not self._may_begin(errand):
-            return
+            return conn.close()
         errand.opening = opening
-        conn = Conn(self)
-        pool.open[conn] = None
         try:
             async with asyncio.timeout(pool.connect_time_out / 1e3):
                 await self._connect(conn)
