--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -104,7 +104,7 @@
             pool = service.turn.upstreams
             here, ended = descriptors(), []
             errand = upstreams.Errand(b"GET / HTTP/1.1\r\n", b"", pool.clock(), 1e3, False, ended.append)
-            pool.peers[0].run(errand, pool.clock())
+            pool.peers[0].run(errand)
             assert len(pool.open) == 1
             if turn == "next":
                 await asyncio.sleep(0)
