--- a/ospreyline/rig/keeper.py
+++ b/ospreyline/rig/keeper.py
@@ -15,7 +15,6 @@
 
 from ospreyline.rig.worker import Worker
 
-NICE = 5  # of what is judged: the rig's own lateness must not be taken for theirs
 STARVED = 30.0  # ms in LOOK that a process was ready to run and did not, which is told
 LOOK = 100.0  # ms
 SIGNALS = {"stop": signal.SIGSTOP, "go on": signal.SIGCONT, "term": signal.SIGTERM, "kill": signal.SIGKILL,
@@ -68,8 +67,6 @@
                         one["command"], stdin=subprocess.DEVNULL, stdout=log, stderr=log,
                         cwd=one["folder"], process_group=0)
                 self._waited.pop(one["name"], None)
-                with suppress(OSError):
-                    os.setpriority(os.PRIO_PROCESS, self._procs[one["name"]].pid, NICE)
                 self.worker.row("spawned", name=one["name"], pid=self._procs[one["name"]].pid)
             pids = {one["name"]: self._procs[one["name"]].pid for one in order["processes"]}
             self.worker.say("spawned", pids=pids)
