Takeover: who asks for a mutating visit that its owner gave up is answered at once

Two ways in which a client that asks again at another balancer waited for an answer that never comes, until its time was over (Covering.goes_on):

- A mutating visit whose client left after a fetch that found no process, or while a further one was connecting or waited for its permit: its owner has nothing out, yet counted it as sent and said nothing, so its recorded permit stood for a fetch that is out.
The owner closes its ballot now (of what is left no fetch ran, nor will one), and it runs for who asks.
- A fetch whose end was noted in the turn of the leaving, behind it, was taken for one that is over: an answer that came so was kept for nobody.
What is not decided yet counts as out.

Still open, by reading: an owner from which a visit was taken while its permit was recorded and not yet used has no word that says so (its ballot is passed by then), nor has one of a tagged visit that gave it up: who asks meanwhile is told 100 ms before its time is over.

--- a/ospreyline/net/covering.py
+++ b/ospreyline/net/covering.py
@@ -136,10 +136,15 @@
 
     def goes_on(self, now: float, taken: Taken, kind: Kind) -> bool:
         """Its client has gone: whether it goes on without, since what was sent may be asked for again."""
-        out = [e for e in taken.errands if e is not None and e.done is not None]
+        fetches = taken.handle.fetches if taken.handle is not None else []
+        # guards: an end that was noted behind the leaving is not decided yet, and may be the answer
+        out = [e for e, f in zip(taken.errands, fetches, strict=False) if e is not None and f.end is None]
         if kind is not Kind.READ_LIKE and any(e.stage > Stage.CONNECTING for e in out):
             return taken.tag in self.takeover.hands
-        self.takeover.gave_up(now, taken.tag, sent=any(e is not None for e in taken.errands))
+        # guards: who asked again for a mutating one waited for an answer until its time was over. One that
+        # may have run is over, or goes on: of what is left no fetch ran, nor will one
+        sent = kind is not Kind.MUTATING and any(e is not None for e in taken.errands)
+        self.takeover.gave_up(now, taken.tag, sent)
         self._speak()
         return False
 
--- a/tests/test_waits.py
+++ b/tests/test_waits.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from types import SimpleNamespace
 
 import pytest
 from stand_ins import Peer, caller, request, running
@@ -11,7 +12,9 @@
 
 from ospreyline import operator
 from ospreyline.fleet.frames import Say
+from ospreyline.host import End
 from ospreyline.net.covering import Covering
+from ospreyline.net.upstreams import Stage
 
 
 @pytest.mark.parametrize("left", [330.0, 349.0, 351.0, 1_505.0, 1_530.0, 1_549.0])
@@ -79,3 +82,48 @@
             assert turn.counts["overdue"] == 1 and not turn.visits and not covering._waiting
 
     play(story)
+
+
+Out = tuple[Stage, bool, End | None]  # how far it came, whether it ended, as what it was decided
+
+
+def leaves(net: Net, *fetches: Out | None) -> bool:
+    """The client of m0's visit has gone, with these fetches of it: whether it goes on without."""
+    covering = Covering(SimpleNamespace(bank=None), operator.Takeover(on=True), "m0", "a", 1, 7, 3)
+    covering.takeover = net.at["m0"]
+    errands = [f and SimpleNamespace(stage=f[0], done=None if f[1] else print) for f in fetches]
+    handle = SimpleNamespace(fetches=[SimpleNamespace(end=f and f[2]) for f in fetches])
+    went_on = covering.goes_on(net.now, SimpleNamespace(tag=1, errands=errands, handle=handle), CHANGE)
+    net.run()
+    return went_on
+
+
+UNREACHED = (Stage.CONNECTING, True, End.UNREACHED)
+
+
+@pytest.mark.parametrize("further", [[], [(Stage.CONNECTING, False, None)], [None]],
+                         ids=["nothing", "connecting", "waits for its permit"])
+def test_a_mutating_visit_whose_client_left_before_it_ran_is_run_for_who_asks_again(further):
+    # a permit for it stood, so the next balancer waited for an answer until its client's time was over
+    net = Net()
+    net.take("m0", CHANGE)
+    assert sent(net, "m0", CHANGE)
+    if further:
+        net.at["m0"].send(net.now, 1, 1, "a", 0)
+        if further[0]:
+            net.run()
+    assert not leaves(net, UNREACHED, *further)
+    assert net.ask("m4", CHANGE) == [("take", [])]
+
+
+@pytest.mark.parametrize("ended", [False, True])
+def test_a_mutating_visit_whose_fetch_is_written_goes_on_without_its_client(ended):
+    # an end noted in the turn of the leaving, behind it, was taken for one that is decided: its answer was kept
+    # for nobody
+    net = Net()
+    net.take("m0", CHANGE)
+    assert sent(net, "m0", CHANGE)
+    assert leaves(net, (Stage.ANSWERING, ended, None))
+    net.at["m0"].answered(net.now, 1, b"the answer")
+    net.run()
+    assert net.ask("m4", CHANGE) == [("answer", b"the answer")]
