--- a/tests/test_waits.py
+++ b/tests/test_waits.py
@@ -118,8 +118,8 @@
 
 @pytest.mark.parametrize("ended", [False, True])
 def test_a_mutating_visit_whose_fetch_is_written_goes_on_without_its_client(ended):
-    # an end noted in the turn of the leaving, behind it, was taken for one that is decided: its answer was kept
-    # for nobody
+    # an end that is noted in the turn of the leaving, behind it, was taken for one that is decided, and its
+    # answer was kept for nobody
     net = Net()
     net.take("m0", CHANGE)
     assert sent(net, "m0", CHANGE)
