--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -8,12 +8,18 @@
 
 import asyncio
 import json
+import os
 import socket
 import struct
+import subprocess
+import sys
+import threading
 import time
+import tomllib
+from pathlib import Path
 
 import pytest
-from stand_ins import RESET, SILENT, Peer, Registry, caller, ok, request, running, target
+from stand_ins import RESET, SILENT, Peer, Registry, caller, configuration, ok, request, running, target
 from test_clients import play
 from test_fleet_runs import Stand, until
 from test_left import asked
@@ -23,6 +29,7 @@
 from ospreyline.net import service as service_module
 from ospreyline.net.turn import clock
 
+ROOT = Path(__file__).parent.parent
 WHOLE = b"whole answer"
 
 
@@ -686,3 +693,38 @@
             assert not service.turn.counts["faults"]
 
     play(story)
+
+
+# the program as it is deployed
+
+
+def test_the_deployed_program_runs_as_one_process(tmp_path):
+    deploy = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
+    assert deploy["run"] == "exec .venv/bin/python -m ospreyline serve"
+    named = [ROOT / name for name in (*deploy["node"], *deploy["policy"])]
+    assert all(path.exists() for path in named)
+    file = tmp_path / "config.json"
+    file.write_text(json.dumps(configuration([target("u0", 1)])))
+    process = subprocess.Popen(["/bin/sh", "-c", f"exec {sys.executable} -m ospreyline serve {file}"],
+                               stdout=subprocess.PIPE, text=True, cwd=ROOT)
+    watchdog = threading.Timer(15, process.kill)
+    watchdog.start()
+    try:
+        lines = map(json.loads, iter(process.stdout.readline, ""))
+        assert any(line["event"] == "serving" for line in lines)
+        own = Path(f"/proc/{process.pid}")
+        if own.exists():  # no child, no io_uring, and nobody listens at a Unix socket
+            children = [path.read_text() for path in own.glob("task/*/children")]
+            assert not any(children)
+            inodes = {os.readlink(fd) for fd in (own / "fd").iterdir()}
+            unix = [line.split() for line in (own / "net" / "unix").read_text().splitlines()[1:]]
+            ours = [row for row in unix if f"socket:[{row[6]}]" in inodes]
+            assert all(row[3] == "00000000" for row in ours)  # none that accepts: the loop's own pairs
+            assert not [link for link in inodes if "io_uring" in link]
+        process.terminate()
+        assert [line["event"] for line in lines][-1] == "stopped" and process.wait(10) == 0
+    finally:
+        watchdog.cancel()
+        process.kill()
+        process.wait()
+        process.stdout.close()
