A connection that rested for long is ended like any other: shut, read on, closed

Seen: a kept connection that had rested for over 2.3 s and was shut at a stop was cut at the next round (0.25 s later) instead of being read on for 1 s, so a request that crossed its end met a reset; one at rest for 75 s was cut at once. Cause: Client.finish left `since` at the last answer, so Client.overdue took it for one that is slow to take its last answer; Clients.tidy aborted idle ones. finish counts anew, and tidy finishes what is idle.

Red without the mend: 2 of 2. New stories that held: a watch in any form with half a line at its end, chunked requests in pieces at every byte.

--- a/ospreyline/net/clients.py
+++ b/ospreyline/net/clients.py
@@ -318,6 +318,7 @@
         Guards: closed with bytes unread, the connection is reset, and the reset can destroy the answer.
         """
         self._over = True
+        self.since = self.clients.loop.time()  # guards: one that had rested for long would be cut as slow
         transport = self.transport
         if transport is not None and not transport.is_closing():
             if transport.get_write_buffer_size():
@@ -474,7 +475,10 @@
                 client.spared = True
                 continue
             self.door.counts["cut_slow"] += 1
-            client.drop()
+            if client.asked and client.idle():
+                client.finish()  # guards: some rest until we end them, and ask something in that moment
+            else:
+                client.drop()
         while len(self.open) > self.most_open // 2 and self._make_room(SETTLED):
             pass
 
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -150,6 +150,30 @@
     client.transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, size)
 
 
+@pytest.mark.parametrize("ends", ["stop", "idle for long"])
+def test_a_connection_that_rested_for_long_is_read_on_after_its_end(ends, monkeypatch):
+    # it counted as slow since its last answer: cut at the next round, and what crossed its end met a reset
+    async def story():
+        peer = Peer()
+        async with running(peer) as service:
+            sock, client = await connected(service)
+            loop = asyncio.get_running_loop()
+            sock.sendall(request())
+            assert (await loop.sock_recv(sock, 4096)).startswith(b"HTTP/1.1 200")
+            client.since -= 100.0
+            if ends == "stop":
+                service.clients.finish_idle()
+            else:
+                service.clients.tidy()
+            service.clients.tidy()  # the round after
+            sock.sendall(request(trace="crosses"))
+            while not client._left_over and client in service.clients.open:
+                await asyncio.sleep(0)
+            assert client in service.clients.open and await read_all(sock) == b"" and len(peer.requests) == 1
+
+    play(story)
+
+
 async def answered_slowly(service, body, **fields):
     """A client that has asked and does not read; its answer is out of our buffer, but still here."""
     slow, client = await connected(service, receive=4096)
@@ -460,7 +484,7 @@
     return calls
 
 
-@pytest.mark.parametrize("path", ["/read", "/tag"])
+@pytest.mark.parametrize("path", ["/read", "/tag", "chunked"])
 def test_a_request_may_come_in_pieces_at_every_byte(path, monkeypatch):
     async def story():
         monkeypatch.setattr(upstreams, "SETTLE", 0.0)
@@ -468,7 +492,9 @@
         async with running(peer) as service:
             sock, _ = await connected(service)
             loop = asyncio.get_running_loop()
-            for seen, pieces in enumerate(pieces_of(asked(path, trace="100"))):
+            data = asked(path, trace="100") if path != "chunked" else request(
+                "/change", "POST", b"1\r\nx\r\n0\r\nX-T: 1\r\n\r\n", Transfer_Encoding="chunked")
+            for seen, pieces in enumerate(pieces_of(data)):
                 for piece in pieces:
                     before = len(calls)
                     sock.sendall(piece)
@@ -476,7 +502,7 @@
                         await asyncio.sleep(0)
                 assert (await loop.sock_recv(sock, 4096)).startswith(b"HTTP/1.1 200")
                 assert len(peer.requests) == seen + 1
-                assert peer.requests[-1][1] == (b"x" if path == "/tag" else b"")
+                assert peer.requests[-1][1] == (b"" if path == "/read" else b"x")
             sock.close()
 
     play(story)
@@ -728,3 +754,38 @@
         process.kill()
         process.wait()
         process.stdout.close()
+
+
+@pytest.mark.parametrize("end", ["end", "reset"])
+@pytest.mark.parametrize("head", [
+    b"HTTP/1.1 200 OK\r\n\r\n", b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", b"length"])
+def test_a_watch_in_any_form_tells_its_lines_and_half_a_line_at_its_end_tells_nothing(head, end):
+    async def story():
+        raw = Raw()
+        raw.server.listen(8)
+        peers = [await Peer(ok(body)).start() for body in (b"0", b"1")]
+        zero, one = (target(f"u{i}", peer.port) for i, peer in enumerate(peers))
+        async with running(known=[zero, one]) as service:
+            lists = service.turn.discovery
+            lists.move(("127.0.0.1", raw.port))
+            conn, got = await raw.take()
+            assert b"watch=1&after=0 " in got
+            line = json.dumps({"rev": 5, "all": True, "targets": [zero]}).encode() + b"\n"
+            half = json.dumps({"rev": 6, "all": True, "targets": [one]}).encode()[:-9]
+            if head == b"length":
+                conn.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % (len(line) + 900))
+            else:
+                conn.sendall(head)
+            conn.sendall(line + half)
+            while lists.rev != 5:
+                await asyncio.sleep(0)
+            if end == "reset":
+                reset(conn)
+            else:
+                conn.close()
+            conn, got = await raw.take()
+            assert b"watch=1&after=5 " in got  # asked again from where it was
+            assert {(await (await caller(service)).ask(request()))[2] for _ in range(4)} == {b"0"}
+            conn.close()
+
+    play(story)
