A repeat by key that would begin after its window is not begun

Seen (loopback, order forced; `..begin_after_its_window..`): a further attempt of a tagged visit was chosen within the window of the first and written after it, because its connection came up late, the loop was late, or it waited for a permit of takeover. `Balancer._may_go` looks at the window when it chooses; nothing looked when it was written (`Peer._open`, `Turn.write`). Upstreams have forgotten the key by then: an effect twice.

Changed: the decisions say until when it may begin (`Visit.begin_by`, set where the rule is), and the last look before a connection or a byte (`Peer._may_begin`) keeps to it.

Also: a process stopped while it connects, with the queue of the upstream's listener full, for clients that end, reset or half-close meanwhile; held before, too.

--- a/ospreyline/decide.py
+++ b/ospreyline/decide.py
@@ -196,7 +196,8 @@
 class Visit:
     """The handle of a visit that was taken."""
 
-    __slots__ = ("_balancer", "came", "done", "expires", "fetches", "held", "lane", "out", "tag", "target_at")
+    __slots__ = ("_balancer", "begin_by", "came", "done", "expires", "fetches", "held", "lane", "out", "tag",
+                 "target_at")
 
     def __init__(self, owner: Balancer, tag: int, lane: Lane, now: float, ttl: float, repeat: bool) -> None:
         self._balancer, self.tag, self.lane, self.came = owner, tag, lane, now
@@ -205,6 +206,7 @@
         elapsed = lane.terms.client_timeout - ttl if repeat and ttl < 0.98 * lane.usual_ttl else 0.0
         self.target_at = now + min(ttl, lane.target - elapsed)
         self.fetches: list[Fetch] = []
+        self.begin_by = inf  # upstreams have forgotten its key by then: nothing of it may begin there later
         self.out = 0
         self.held = self.done = False
 
@@ -215,10 +217,7 @@
 
     def may_have_run(self) -> Fetch | None:
         """The first fetch that may have run or is still out."""
-        for f in self.fetches:
-            if f.end not in NEVER_RAN:
-                return f
-        return None
+        return next((f for f in self.fetches if f.end not in NEVER_RAN), None)
 
     def ended(self, now: float, number: int, end: End, spent: float, final: bool,
               report: tuple[float, ...]) -> None:
@@ -505,7 +504,8 @@
             return False
         lane = visit.lane
         if lane.kind is not Kind.READ_LIKE and (ran := visit.may_have_run()) is not None:
-            if lane.kind is Kind.MUTATING or now >= ran.sent + lane.window:
+            visit.begin_by = ran.sent + lane.window
+            if lane.kind is Kind.MUTATING or now >= visit.begin_by:
                 return False
             # guards: where zones were named anew since, who is in its group is not known
             apart = u.zone != ran.upstream.zone or (lane.scope is Scope.CELL and u.cell != ran.upstream.cell)
--- a/ospreyline/net/turn.py
+++ b/ospreyline/net/turn.py
@@ -473,6 +473,8 @@
         errand = taken.errands[number] = Errand(
             request.head(), request.body, now, time_out, request.method == b"HEAD",
             lambda outcome: self.note(self.ended, taken, number, outcome), taken.wanted)
+        if taken.handle is not None:
+            errand.begin_by = taken.handle.begin_by
         self.upstreams.peers[upstream].run(errand)
 
     def _call_off(self, now: float, taken: Taken, number: int) -> None:
--- a/ospreyline/net/upstreams.py
+++ b/ospreyline/net/upstreams.py
@@ -13,6 +13,7 @@
 from contextlib import suppress
 from dataclasses import dataclass
 from enum import Enum, IntEnum
+from math import inf
 from typing import Any, cast
 
 import httptools
@@ -124,8 +125,8 @@
 class Errand:
     """One request to an upstream, until it has ended."""
 
-    __slots__ = ("body", "conn", "done", "expires", "head", "head_only", "opening", "peer", "sent", "stage",
-                 "timer", "wanted")
+    __slots__ = ("begin_by", "body", "conn", "done", "expires", "head", "head_only", "opening", "peer",
+                 "sent", "stage", "timer", "wanted")
 
     def __init__(self, head: bytes, body: bytes, sent: float, time_out: float, head_only: bool,
                  done: Callable[[Answer | Cut], None], wanted: Callable[[], bool] = _anybody) -> None:
@@ -133,6 +134,7 @@
         self.body = body
         self.sent = sent
         self.expires = sent + time_out
+        self.begin_by = inf  # nothing of it may begin at its upstream from then on
         self.head_only = head_only
         self.done: Callable[[Answer | Cut], None] | None = done
         self.wanted = wanted  # whether anybody waits for it still
@@ -373,9 +375,11 @@
 
     def _may_begin(self, errand: Errand) -> bool:
         """The last look before an upstream sees something of an errand, its connection or its first byte."""
-        # guards: between choosing and this lie a turn, passes of the loop, maybe a stop of this process; the
-        # client can have left meanwhile, and its time can be over. No upstream is to blame for that
-        if errand.wanted() and errand.expires - self.pool.clock() >= LEAST:
+        # guards: between choosing and this lie a turn, a permit, passes of the loop, maybe a stop of this
+        # process; the client can have left meanwhile, its time can be over, and so can the one in which its
+        # repeat is known for one. No upstream is to blame for that
+        now = self.pool.clock()
+        if now < errand.begin_by and errand.expires - now >= LEAST and errand.wanted():
             return True
         errand.cut(Why.WITHDRAWN)
         return False
--- a/tests/test_gone.py
+++ b/tests/test_gone.py
@@ -17,8 +17,8 @@
 import subprocess
 import sys
 import time
-from collections.abc import Callable
-from contextlib import suppress
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager, suppress
 from pathlib import Path
 from typing import Any
 
@@ -499,18 +499,29 @@
 # a process that is stopped
 
 
+@asynccontextmanager
+async def process(tmp_path: Path, upstream: int) -> AsyncIterator[tuple[int, int]]:
+    """`serve`, ready in front of that upstream: its process and its port."""
+    port = free_port()
+    told = configuration([target("u0", upstream)], ConnectTimeoutUs=4_000_000)
+    file = tmp_path / "balancer.json"
+    file.write_text(json.dumps(told | {"listen": f"127.0.0.1:{port}"}))
+    started = subprocess.Popen([sys.executable, "-m", "ospreyline", "serve", str(file)],
+                               stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL)
+    try:
+        await serving(port)
+        yield started.pid, port
+    finally:
+        started.send_signal(signal.SIGCONT)
+        started.kill()
+        started.wait()
+
+
 @pytest.mark.parametrize("kept", [True, False])
 def test_a_process_that_was_stopped_begins_nothing_for_those_that_left_meanwhile(kept, tmp_path):
     async def story():
         peer = await Peer().start()
-        port = free_port()
-        told = configuration([target("u0", peer.port)]) | {"listen": f"127.0.0.1:{port}"}
-        file = Path(tmp_path / "balancer.json")
-        file.write_text(json.dumps(told))
-        process = subprocess.Popen([sys.executable, "-m", "ospreyline", "serve", str(file)],
-                                   stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL)
-        try:
-            await serving(port)
+        async with process(tmp_path, peer.port) as (pid, port):
             if kept:  # a connection to the upstream stands ready, and those who ask are accepted already
                 assert (await (await asked_at(port)).ask(request()))[0] == 200
                 await asyncio.sleep(upstreams.SETTLE / 1e3)
@@ -518,19 +529,60 @@
             socks = [socket.create_connection(("127.0.0.1", port)) for _ in range(12)]
             if kept:
                 await asyncio.sleep(0.05)
-            os.kill(process.pid, signal.SIGSTOP)
+            os.kill(pid, signal.SIGSTOP)
             for i, sock in enumerate(socks):
                 sock.sendall(asked(("/read", "/tag", "/change")[i % 3]))
             for i, sock in enumerate(socks):
                 leave(sock, ("end", "reset", "half", "half")[i // 3])
             await asyncio.sleep(0.15)
-            os.kill(process.pid, signal.SIGCONT)
+            os.kill(pid, signal.SIGCONT)
             assert (await (await asked_at(port)).ask(request(trace="next")))[0] == 200
             assert len(peer.requests) == begun[0] + 1 and len(peer.writers) <= begun[1] + 1
-        finally:
-            os.kill(process.pid, signal.SIGCONT)
-            process.kill()
-            process.wait()
+
+    play(story)
+
+
+def connecting(port: int) -> bool:
+    """Whether somebody on this machine tries to connect there, and has no answer yet."""
+    rows = (row.split() for row in Path("/proc/net/tcp").read_text().splitlines()[1:])
+    return any(row[2].endswith(f":{port:04X}") and row[3] == "02" for row in rows)
+
+
+def test_a_process_that_was_stopped_while_it_connected_writes_nothing_for_those_that_left(tmp_path):
+    async def story():
+        server = socket.create_server(("127.0.0.1", 0), backlog=0)
+        server.setblocking(False)
+        at = server.getsockname()
+        async with process(tmp_path, at[1]) as (pid, port):
+            for how in ("end", "reset", "half"):
+                full = [socket.create_connection(at)]  # the queue of the listener is full: no more come up
+                sock = socket.create_connection(("127.0.0.1", port))
+                sock.sendall(asked("/change"))
+                while not connecting(at[1]):
+                    await asyncio.sleep(0.005)
+                os.kill(pid, signal.SIGSTOP)
+                leave(sock, how)
+                await asyncio.sleep(0.15)
+                full.append(server.accept()[0])  # from here on its connection can come up
+                os.kill(pid, signal.SIGCONT)
+                while connecting(at[1]):
+                    await asyncio.sleep(0.005)
+                with suppress(BlockingIOError, ConnectionResetError):
+                    while True:  # it may have come up before the process went on; not a byte is written
+                        late, _ = server.accept()
+                        assert not await asyncio.get_running_loop().sock_recv(late, 65_536)
+                for one in full:
+                    one.close()
+            client = await asked_at(port)
+            client.writer.write(request(trace="next"))
+            while True:
+                await asyncio.sleep(0.005)
+                with suppress(BlockingIOError):
+                    conn, _ = server.accept()
+                    break
+            assert b"next" in await asyncio.get_running_loop().sock_recv(conn, 65_536)
+            conn.close()
+            server.close()
 
     play(story)
 
@@ -753,3 +805,56 @@
             assert not service.turn.balancer._upstreams[0].run and service.turn.counts["unreached"] == 0
 
     play(story)
+
+
+# a further attempt that is chosen within its window, and would begin after it
+
+
+@pytest.mark.parametrize("what", ["in time", "connection", "loop", "permit"])
+def test_a_repeat_that_would_begin_after_its_window_is_not_begun(what, monkeypatch):
+    # chosen in time, it was written when its connection came up, and its upstream had forgotten the key
+    async def story():
+        window, peers = 200.0, (Peer(RESET), Peer(RESET))
+        async with running(*peers) as service:
+            reload(service, ["read", "tag", "change"], tag={"WindowUs": window * 1e3})
+            turn, guarded = service.turn, Guarded(service) if what == "permit" else None
+            ended, begun, again = turn.ended, [], asyncio.Event()
+
+            async def late(*args: Any) -> None:
+                again.set()
+                while clock() <= begun[0] + window:
+                    await asyncio.sleep(0.01)
+                await connect(*args)
+
+            def then(now, taken, number, outcome):
+                # the first has ended: the next one is chosen in time, and something keeps it
+                turn.ended = ended
+                begun.append(taken.errands[number].sent)
+                for peer in peers:
+                    peer.answers = [ok()]
+                if what == "connection":
+                    monkeypatch.setattr(upstreams.Peer, "_connect", late)
+                elif what == "loop":
+                    delay = Delay(window + 10, again.set)
+                    monkeypatch.setattr(upstreams.Peer, "_open", delay.before(upstreams.Peer._open))
+                ended(now, taken, number, outcome)
+                assert len(taken.handle.fetches) == 2
+
+            connect, turn.ended = upstreams.Peer._connect, then
+            sock = connected(service)
+            sock.sendall(asked("/tag"))
+            if guarded is not None:
+                while not turn.covering._waiting:
+                    await asyncio.sleep(0)
+                guarded.carry()  # a permit for the first
+                while not begun or not turn.covering._waiting:
+                    await asyncio.sleep(0)
+                while clock() <= begun[0] + window:
+                    await asyncio.sleep(0.01)
+                guarded.carry()
+            # the client is told that a repeat of its own is harmless, as its key allows
+            assert await answered(sock) == (200 if what == "in time" else 503)
+            assert sum(len(peer.requests) for peer in peers) == (2 if what == "in time" else 1)
+            assert again.is_set() is (what in ("connection", "loop"))
+
+    play(story)
