--- a/ospreyline/net/turn.py
+++ b/ospreyline/net/turn.py
@@ -332,7 +332,7 @@
         waited = now - taken.came
         if now <= self.stood_to:
             # guards: a request that waited in its socket while this process was stopped would be sent on for
-            # a client that has gone; where the system does not tell when it came, all of that time counts
+            # a client that has gone; not every system tells when it came, so all of that time counts
             waited = max(waited, now - self._stood_from)
         left -= waited
         taken.late = self._loop.call_later(max(0.0, left + BACKSTOP) / 1e3, self.note, self._overdue, taken)
