Cold upstreams: no second part after a telling, no probes, starts before our clock count

What was sent now stays noted, and the start is compared as the list has it. - A start before the zero of our clock (a machine younger than the upstream) counted as long ago, so as warm. - Probes went to cold upstreams, from all balancers, and no part bounded them: they go to warm ones only.

--- a/ospreyline/decide.py
+++ b/ospreyline/decide.py
@@ -121,6 +121,7 @@
     level: Level
     ready: bool = False
     start: float = -inf  # of its process
+    came_up: float = -inf  # as the list has it, which may lie ahead
     since: float = -inf  # it is new, or has returned, since then
     out: dict[Fetch, None] = field(default_factory=dict)  # oldest first
     run: float = 0.0
@@ -156,8 +157,7 @@
         self.run = self.report = self.samples = 0.0
         self.measured_at = self.report_at = -inf
         self.depth, self.lowest, self.lowest_before = 1.0, inf, inf
-        self.until.clear()
-        self.cold_sends.clear()
+        self.until.clear()  # what it was sent while cold stays noted, or a window would hold two parts
 
     def smooth(self, now: float, latency: float, depth: int, memory: float) -> None:
         """Take in how long a fetch took that was sent as the depth-th one out."""
@@ -341,8 +341,9 @@
             was, u.ready = u.ready, line.readiness is Readiness.READY
             if not u.ready:
                 continue
-            start = min(line.came_up, now) if line.came_up > 0 else -inf
-            if start > u.start or not (was or first):
+            came_up = line.came_up or -inf  # what lies ahead of our clock is now, and not anew each time
+            if came_up > u.came_up or not (was or first):
+                start, u.came_up = u.start if came_up == u.came_up else min(came_up, now), came_up
                 u.reborn(now, start)  # guards: a returning machine is cold, whatever was learnt of it
         if len(self._ring) < len(self._upstreams):
             self._ring = sorted(self._upstreams.values(), key=lambda u: u.mark * MIX & MASK)
@@ -520,8 +521,7 @@
                 # guards: a part under one send is kept by chance, drawn for each window and never saved
                 # up, or hundreds would each send the one they have left; half of it, for their sum's sake
                 part = self._cold_window * self._capacity * self._warmth(u, now)
-                u.allowed = int(part) + (self._random() < self._granted * (part % 1))
-                u.drawn_at = now
+                u.allowed, u.drawn_at = int(part) + (self._random() < self._granted * (part % 1)), now
             return len(sends) < u.allowed
         return True
 
@@ -872,8 +872,8 @@
         self._shares = shares(self._order, healths)
 
     def _probe(self, now: float) -> None:
-        """Probe where allowed, as often as their price permits; failing ones before their trial."""
-        in_use = [u for level in self._levels for u in level.healthy]
+        """Probe where allowed, as often as the price permits; never cold ones: it is work without budget."""
+        in_use = [u for level in self._levels for u in level.healthy if now - u.start >= self._warm_within]
         if not in_use or self._load_field < 0:
             return
         # guards: all balancers that start at once probe at once, unless as rarely as they are asked
--- a/ospreyline/host.py
+++ b/ospreyline/host.py
@@ -62,7 +62,7 @@
     zone: int
     cell: int
     readiness: Readiness
-    came_up: float  # start of the process on our clock, 0 for long ago
+    came_up: float  # start of the process on our clock (under 0: before its zero), 0 for long ago
 
 
 @dataclass(slots=True, frozen=True)
--- /dev/null
+++ b/tests/test_cold_sum.py
@@ -0,0 +1,158 @@
+"""What a cold upstream is sent: all that counts against one balancer's part, and the sum over all of them."""
+
+from __future__ import annotations
+
+import pytest
+from stand_ins import FakeHost, listed, prefix
+
+from ospreyline.decide import Visit
+from ospreyline.host import End, Kind, Readiness
+
+TERMS = {"cold_from": 0.5, "overload_factor": 4.0, "tip_after": 2_000.0, "warm_within": 60_000.0}
+
+
+def cold_host(count: int = 1, start: float = 100_000.0, **terms: object) -> FakeHost:
+    """A host whose upstreams have just started, with a part of four sends at each."""
+    host = FakeHost([listed(i, came_up=start - 1_000) for i in range(count)], start, **TERMS | terms)
+    granted(host)
+    return host
+
+
+def granted(host: FakeHost, part: float = 4.0) -> None:
+    balancer = host.balancer
+    balancer._capacity = part / balancer._cold_window / 0.5
+
+
+def greedy(host: FakeHost, upstream: int = 0, tries: int = 30) -> int:
+    """How many of so many visits at once are let through to it."""
+    balancer = host.balancer
+    u, lane = balancer._upstreams[upstream], balancer._lanes[0]
+    return sum(balancer._send(Visit(balancer, -1 - i, lane, host.now, 2_500.0, False), u, host.now)
+               for i in range(tries))
+
+
+def most_in_a_window(host: FakeHost, upstream: int = 0, span: float = 2_000.0) -> int:
+    sends = [at for _, u, _, at in host.sends if u == upstream]
+    return max((sum(at - span < other <= at for other in sends) for at in sends), default=0)
+
+
+def test_trials_count_against_the_part():
+    host = cold_host()
+    u = host.balancer._upstreams[0]
+    spent = greedy(host)
+    u.failing, u.trial_at, host.balancer._due = True, host.now, [u]
+    for _ in range(10):
+        visit = host.take()
+        assert not visit.fetches and not u.trial_out
+        host.pass_time(10)
+        u.trial_at, host.balancer._due = host.now, [u]
+    assert spent in (4, 5) and most_in_a_window(host) == spent
+
+
+def test_a_trial_within_the_part_is_one_of_it():
+    host = cold_host()
+    u = host.balancer._upstreams[0]
+    u.failing, u.trial_at, host.balancer._due = True, host.now, [u]
+    visit = host.take()
+    assert visit.fetches[0].trial and len(u.cold_sends) == 1
+
+
+def test_the_last_resort_counts_against_the_part():
+    host = cold_host(3)
+    balancer = host.balancer
+    for u in balancer._upstreams.values():
+        u.failing, u.trial_at = True, host.now + 1e9
+    balancer._rank(host.now)
+    assert not balancer._shares
+    for _ in range(60):
+        granted(host)
+        host.take()
+        host.pass_time(20)
+    assert host.sends and all(0 < most_in_a_window(host, u) <= 5 for u in range(3))
+
+
+def test_no_probe_goes_to_a_cold_upstream():
+    lines = [listed(0, came_up=99_000.0), listed(1)]
+    host = FakeHost(lines, may_probe=True, report_fields=("queue",), **TERMS)
+    for _ in range(40):
+        host.serve(1)
+        host.pass_time(500)
+    assert host.now < 99_000 + 60_000 and set(host.probes) == {1}
+    host.pass_time(60_000)
+    assert set(host.probes) == {0, 1}
+
+
+@pytest.mark.parametrize("told", ["again", "whole"])
+def test_a_start_that_lies_ahead_gives_its_part_once_a_window(told):
+    # guards: clocks differ a little, and a list that comes again names the same start
+    host = cold_host()
+    line = listed(0, came_up=host.now + 1_500)
+    host.balancer.told_changes(host.now, [line])
+    sent = 0
+    for _ in range(15):
+        sent += greedy(host)
+        host.pass_time(100)
+        granted(host)
+        if told == "whole":
+            host.balancer.told_all(host.now, [line])
+        else:
+            host.balancer.told_changes(host.now, [line])
+    assert host.balancer._upstreams[0].start == 100_000.0
+    assert 4 <= sent <= 5 and most_in_a_window(host) == sent
+
+
+@pytest.mark.parametrize("away", [Readiness.DRAINING, Readiness.GONE])
+@pytest.mark.parametrize("newer", [0.0, 400.0])
+def test_one_that_is_away_and_back_within_a_window_gets_no_second_part(away, newer):
+    host = cold_host()
+    was = listed(0, came_up=99_000.0, readiness=away)
+    sent = greedy(host)
+    for _ in range(4):
+        host.balancer.told_changes(host.now, [was])
+        host.pass_time(100)
+        granted(host)
+        host.balancer.told_changes(host.now, [listed(0, came_up=99_000.0 + newer)])
+        sent += greedy(host)
+    assert 4 <= sent <= 5 and most_in_a_window(host) == sent
+
+
+@pytest.mark.parametrize(("came_up", "cold"), [(99_000.0, True), (10_000.0, False), (0.0, False)])
+def test_one_that_is_back_is_as_old_as_the_list_says(came_up, cold):
+    # the list names each start of a process; 0 is long ago, whatever happened to the machine
+    host = FakeHost([listed(0, came_up=came_up)], **TERMS)
+    host.balancer.told_changes(host.now, [listed(0, came_up=came_up, readiness=Readiness.GONE)])
+    host.pass_time(500)
+    host.balancer.told_changes(host.now, [listed(0, came_up=came_up)])
+    granted(host)
+    assert greedy(host) in ((4, 5) if cold else (30,))
+
+
+def test_one_that_was_forgotten_and_is_named_again_is_as_old_as_the_list_says():
+    host = cold_host(2)
+    greedy(host)
+    host.balancer.told_changes(host.now, [listed(0, came_up=99_000.0, readiness=Readiness.GONE)])
+    host.pass_time(50_000)
+    host.balancer.forget(0)
+    host.balancer.told_changes(host.now, [listed(0, came_up=99_000.0)])
+    u = host.balancer._upstreams[0]
+    assert u.start == 99_000.0 and host.balancer._warmth(u, host.now) == pytest.approx(0.5 + 0.5 * 51 / 60)
+    granted(host)
+    assert 4 <= greedy(host) <= 8
+
+
+def test_a_start_before_our_clocks_zero_is_a_start():
+    # guards: the clock counts from the start of our machine, which may be younger than an upstream
+    host = FakeHost([listed(0, came_up=-5_000.0)], start=8_000.0, **TERMS)
+    granted(host)
+    assert host.balancer._upstreams[0].start == -5_000.0 and greedy(host) in (4, 5)
+
+
+@pytest.mark.parametrize("end", [End.FULL, End.UNSENT, End.UNREACHED, End.ERRORED])
+def test_what_was_sent_counts_however_it_ends(end):
+    host = cold_host(prefixes=(prefix(Kind.READ_LIKE),))
+    for _ in range(40):
+        granted(host)
+        visit = host.take()
+        if visit.out:
+            host.end(visit, end, 10.0)
+    assert host.sends and most_in_a_window(host) <= 5
