Cold upstreams: parts by running means, which add up to what is delivered at all balancers

Cause, counted by the new 'lab cold' (greedy demand, every visit tried at the cold server first): each balancer went by the most that it had seen deliver, fading by a hundredth a second (_count). Change: a part goes by 0.5 x what a warm upstream of the zone delivers to us + 0.3 x all that we deliver, spread evenly, both as means of the same weights everywhere (Level.capacity in place of Balancer._capacity). Each visit is delivered by one balancer, so the parts add up to eight tenths of what an upstream delivers. Tests: test_cold_sum.py counts the sum for 3, 10, 20, 30 and 200 balancers, eight kinds of traffic, and shows that it is over without the means, or without chance. tests that set or read the former figure name the new one, nothing else in them is changed. lab/run.py writes the new figure, for earlier texts the former one.

--- a/ospreyline/decide.py
+++ b/ospreyline/decide.py
@@ -37,7 +37,7 @@
 SMOOTH = 0.1  # weight of a new sample in smoothed figures
 PACE = 0.02  # weight of a new sample in the pace of a path prefix
 REACH = 0.3  # weight of a new sample in the share of a zone's fetches that find a process
-COLD_SHARE = 0.8  # of what the rule lets a cold upstream be sent, if all that we see delivered went evenly
+COLD_NEAR, COLD_FAR = 0.5, 0.3  # of a cold budget, by what its own zone, and what all, deliver to us
 SPARE = 0.5  # share of a part of a cold send that is left for chance, where balancers are many
 PATIENCE = 0.9  # share of the target latency that a visit of great value accepts as predicted latency
 IDLE_SHARE = 0.4  # of an idle upstream's latency that comes on top of patience
@@ -92,6 +92,7 @@
     used: float = 1.0  # share of its upstreams that a balancer asked the mean sends to
     kept: float = 1.0  # share of its fetches answered within the target latency, smoothed
     rate: float = 0.0  # visits a second that one of its warm upstreams delivers for us, smoothed
+    capacity: float = 0.0  # visits a second that one of its upstreams, if warm, may carry for us
 
     def smooth(self, now: float, latency: float, depth: int) -> None:
         """Take in how long a fetch to the zone took that was sent as the depth-th one out there."""
@@ -239,7 +240,6 @@
         self._rest = inf  # a connection that has rested longer is not trusted
         self._told_rest = self._told_until = inf  # what others have told of that, and how long it holds
         self._rests: deque[Fetch] = deque(maxlen=99)  # the latest: long and short rests are compared
-        self._capacity = 0.0  # visits a second that a warm upstream may be thought to carry for us
         self._places = self._probes_due = 0.0  # places: upstreams that we would use, were all healthy
         self._ask_wait = 500.0
         self._upstreams: dict[int, Upstream] = {}
@@ -520,7 +520,7 @@
             if now - u.drawn_at >= self._tip_after:
                 # guards: a part under one send is kept by chance, drawn for each window and never saved
                 # up, or hundreds would each send the one they have left; half of it, for their sum's sake
-                part = self._cold_window * self._capacity * self._warmth(u, now)
+                part = self._cold_window * u.level.capacity * self._warmth(u, now)
                 u.allowed, u.drawn_at = int(part) + (self._random() < self._granted * (part % 1)), now
             return len(sends) < u.allowed
         return True
@@ -777,20 +777,20 @@
 
     def _count(self, now: float) -> None:
         """Once a second: rates, and the capacity that warm upstreams are seen to have."""
-        span = (now - self._second_at) / 1e3
-        self._second_at = now
+        span, self._second_at = (now - self._second_at) / 1e3, now
         self._flow += 0.5 * (self._delivered / span - self._flow)
         self._asked += 0.3 * (self._taken / span - self._asked)
         self._delivered = self._taken = 0
         in_use = sum(len(level.healthy) for level in self._levels)
+        spread = max(1.0, in_use, self._places)
         for level in self._levels:
             warm = [u.served for u in level.healthy if now - u.start >= self._warm_within]
             if warm:
-                level.rate += SMOOTH * (sum(warm) / len(warm) / span - level.rate)
-        # guards: one just started saw none carry much; what is delivered, spread evenly, is what they can do
-        share = COLD_SHARE * max(3, self._zones) * self._flow
-        share = max(0.5 * self._asked, share) / max(1.0, in_use, self._places)
-        self._capacity = max(0.99 * self._capacity, share, *(level.rate for level in self._levels))
+                level.rate += 0.3 * (sum(warm) / len(warm) / span - level.rate)
+            # guards: each visit is delivered by one balancer, so means add up to what an upstream delivers,
+            # and the most that each ever saw does not. One just started saw little; some of what it is asked
+            share = max(3, self._zones) * (COLD_NEAR * level.rate + COLD_FAR * self._flow / spread)
+            level.capacity = max(0.5 * self._asked / spread, share)
         for u in self._ready:
             u.served = 0
         if self._rests and now - self._rests[-1].sent > FORGIVE:
--- a/ospreyline/lab/command.py
+++ b/ospreyline/lab/command.py
@@ -294,6 +294,43 @@
             click.echo(opening(int(word), calls_per_s, paced, down, boot, seed=seed).line())
 
 
+@lab.command()
+@click.option("--sizes", default="3,10,20,30,200,1000", show_default=True, help="Of the bank.")
+@click.option("--budgets", default="1,3,10,30,100", show_default=True, help="N: visits in a window.")
+@click.option("--shape", "shapes", multiple=True, help="What is asked of whom. Default: all.")
+@click.option("--without", default="", help="A part of the rule that is taken out: means, half or chance.")
+@click.option("--draws", default=50, show_default=True)
+@click.option("--jobs", default=1, show_default=True, help="Processes.")
+@_told
+def cold(sizes: str, budgets: str, shapes: tuple[str, ...], without: str, draws: int, jobs: int) -> None:
+    """What all balancers together send to a cold server, against N + 2 root N + 2; status 1 if over.
+
+    over: windows over the bound; broken: those of them with two thirds from balancers that had been told;
+    most/N, used: the fullest window and the mean one.
+    """
+    from concurrent.futures import ProcessPoolExecutor
+    from itertools import product, repeat
+
+    from ospreyline.lab import cold as colds
+
+    banks, most = sizes.split(","), budgets.split(",")
+    if not all(word.isdigit() and int(word) for word in (*banks, *most)) or draws < 1 or jobs < 1:
+        raise ScenarioError("--sizes, --budgets, --draws and --jobs take whole numbers from 1 on")
+    for shape in shapes:
+        if shape not in colds.SHAPES:
+            raise ScenarioError(f"--shape: unknown {shape!r}, one of {', '.join(colds.SHAPES)}")
+    if without and without not in colds.PARTS:
+        raise ScenarioError(f"--without: unknown {without!r}, one of {', '.join(colds.PARTS)}")
+    click.echo(colds.HEADER)
+    broken = 0
+    with ProcessPoolExecutor(jobs) as pool:
+        grid = list(product(shapes or colds.SHAPES, map(int, banks), map(float, most)))
+        for row in pool.map(colds.row, *zip(*grid, strict=True), *map(repeat, (draws, without))):
+            broken += row.broken
+            click.echo(row.line())
+    sys.exit(1 if broken else 0)
+
+
 @lab.command()
 @click.option("--sizes", default="10,50,100,300", show_default=True, help="Of the bank.")
 @click.option("--loss", default=0.0, show_default=True, help="Share of messages that are lost.")
--- a/ospreyline/lab/run.py
+++ b/ospreyline/lab/run.py
@@ -220,7 +220,7 @@
                     "latency": round(sum(level.latency for level in levels) / n, 2),
                     "healthy": round(sum(len(level.healthy) for level in levels) / n, 2),
                     "out": sum(level.out for level in levels),
-                    "capacity": round(sum(policy._capacity for policy in living) / n, 3),
+                    "capacity": round(sum(_capacity(policy, zone) for policy in living) / n, 3),
                     "short": round(sum(now - policy._short_at < 1_000 for policy in living) / n, 3),
                 }
             )
@@ -309,6 +309,12 @@
         }
 
 
+def _capacity(policy: Any, zone: int) -> float:
+    """What it thinks that a warm server of the zone carries for it; earlier texts had one figure for all."""
+    level = policy._levels[zone]
+    return float(level.capacity if hasattr(level, "capacity") else policy._capacity)
+
+
 def play(
     scenario: Scenario, seed: int, arm: str = "ours", path: Path | None = None, visits: str = "none"
 ) -> dict[str, Any]:
--- a/tests/test_cold_sum.py
+++ b/tests/test_cold_sum.py
@@ -7,6 +7,7 @@
 
 from ospreyline.decide import Visit
 from ospreyline.host import End, Kind, Readiness
+from ospreyline.lab import cold
 
 TERMS = {"cold_from": 0.5, "overload_factor": 4.0, "tip_after": 2_000.0, "warm_within": 60_000.0}
 
@@ -20,7 +21,8 @@
 
 def granted(host: FakeHost, part: float = 4.0) -> None:
     balancer = host.balancer
-    balancer._capacity = part / balancer._cold_window / 0.5
+    for level in balancer._levels:
+        level.capacity = part / balancer._cold_window / 0.5
 
 
 def greedy(host: FakeHost, upstream: int = 0, tries: int = 30) -> int:
@@ -156,3 +158,32 @@
         if visit.out:
             host.end(visit, end, 10.0)
     assert host.sends and most_in_a_window(host) <= 5
+
+
+# -- the sum over all balancers: `ospreyline lab cold` plays fifty draws of more sizes --------------------
+
+
+@pytest.mark.parametrize("shape", cold.SHAPES)
+@pytest.mark.parametrize("balancers", [3, 10, 20, 30])
+def test_all_balancers_together_keep_to_the_budget_and_its_chance(shape, balancers):
+    rows = [cold.row(shape, balancers, budget, 2) for budget in (1.0, 10.0, 100.0)]
+    assert not any(row.broken for row in rows), [row.line() for row in rows]
+    assert all(draw.windows for draw in rows[-1].draws)
+
+
+@pytest.mark.parametrize("shape", ["even", "skewed", "fresh", "uneven"])
+def test_hundreds_of_balancers_together_keep_to_the_budget_and_its_chance(shape):
+    assert not any(cold.count(shape, 200, budget, 1).broken for budget in (2.0, 50.0))
+
+
+@pytest.mark.parametrize(("part", "shape", "balancers", "budget"), [
+    ("means", "moving", 3, 100.0), ("means", "moving", 20, 100.0), ("chance", "even", 200, 10.0)])
+def test_without_a_part_of_the_rule_the_sum_is_over_it(part, shape, balancers, budget):
+    assert any(cold.count(shape, balancers, budget, seed, part).broken for seed in range(4))
+
+
+@pytest.mark.parametrize(
+    ("balancers", "budget", "least"), [(3, 10.0, 0.6), (20, 10.0, 0.35), (20, 100.0, 0.6)])
+def test_what_the_rule_gives_is_used(balancers, budget, least):
+    used = [cold.count("even", balancers, budget, seed).used for seed in range(5)]
+    assert sum(used) / len(used) >= least, used
--- a/tests/test_many.py
+++ b/tests/test_many.py
@@ -132,7 +132,7 @@
         sends = 0
         for host in hosts:
             balancer, cold = host.balancer, host.balancer._upstreams[0]
-            balancer._capacity = 0.2  # of 20 visits a second that the 100 bring to a warm one
+            balancer._levels[0].capacity = 0.2  # of 20 visits a second that the 100 bring to a warm one
             if not window:
                 host.balancer.told_changes(host.now, [listed(0, came_up=host.now)])
             visit = Visit(balancer, 1, balancer._lanes[0], host.now, 2_500.0, False)
@@ -154,7 +154,7 @@
     for u in host.balancer._upstreams.values():
         if u.id:
             u.latency, u.measured_at, u.sent_at = 2_000.0, host.now, host.now
-    host.balancer._capacity = 4.0
+    host.balancer._levels[0].capacity = 4.0
     assert set(host.serve(10)) == {0}
 
 
@@ -166,11 +166,11 @@
     for host in hosts:
         host.balancer._delivered, host.balancer._flow = 8, 8.0
         host.pass_time(1_300)
-        assert max(level.rate for level in host.balancer._levels) < 0.2 * host.balancer._capacity
+        assert max(level.rate for level in host.balancer._levels) < 0.2 * host.balancer._levels[0].capacity
     for u in range(10):
         # all balancers that use an upstream, together, in visits a second that each of them delivers evenly
         using = [h.balancer for h in hosts if any(u == x.id for x in h.balancer._levels[u % zones].healthy)]
-        budget = sum(b._cold_window * b._capacity for b in using) / 2
+        budget = sum(b._cold_window * b._levels[u % zones].capacity for b in using) / 2
         # under the rule's factor, 2 here, times what it would carry, were all spread evenly
         assert budget <= 0.85 * 2.0 * 40 * 8 / 10
 
@@ -186,7 +186,7 @@
         for host in hosts:
             balancer, cold = host.balancer, host.balancer._upstreams[0]
             host.balancer.told_changes(host.now, [listed(0, came_up=host.now - 3_000)])
-            balancer._capacity = 1.0
+            balancer._levels[0].capacity = 1.0
             visit = Visit(balancer, 1, balancer._lanes[0], host.now, 2_500.0, False)
             sends[-1] += balancer._send(visit, cold, host.now)
             host.pass_time(2_000)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -134,7 +134,7 @@
     host.balancer.told_changes(host.now, [listed(back, came_up=host.now)])
     start = host.now
     host.serve(400, lambda u: end if u == back else End.DELIVERED)
-    capacity = host.balancer._capacity  # it may have been seen to be more since
+    capacity = host.balancer._levels[0].capacity  # it may have been seen to be more since
     sends = [at for _, u, _, at in host.sends if u == back and at >= start]
     for at in sends:
         window = sum(at - 2_000 < other <= at for other in sends)
--- a/tests/test_switch.py
+++ b/tests/test_switch.py
@@ -235,7 +235,7 @@
     # guards: a fleet that has just started would be sent nothing for a window after any reload
     lines = [listed(i, came_up=99_000.0) for i in range(3)]
     host = FakeHost(lines, cold_from=0.5, overload_factor=4.0, warm_within=60_000.0)
-    host.balancer._capacity = 50.0
+    host.balancer._levels[0].capacity = 50.0
     host.serve(3)
     granted = [(u.allowed, u.drawn_at, list(u.cold_sends)) for u in host.balancer._upstreams.values()]
     assert any(allowed for allowed, _, _ in granted)
