--- a/ospreyline/facts.py
+++ b/ospreyline/facts.py
@@ -198,9 +198,11 @@
     except ValueError:
         raise FactError(f"seed: {file.seed!r} is no hexadecimal number") from None
     names = tuple(p.name for p in facts.path_prefixes)
+    seen: set[str] = set()
     for i, name in enumerate(names):
-        if not name or "/" in name or name in names[:i]:
+        if not name or "/" in name or name in seen:
             raise FactError(f"settings.PathPrefixes[{i}].Name: {name!r} cannot be the first part of a path")
+        seen.add(name)
     return Post(
         name=env.get("PROXY_NAME") or file.name,
         listen=_address("listen", env.get("PROXY_LISTEN") or file.listen, lowest_port=0),
--- a/ospreyline/rig/command.py
+++ b/ospreyline/rig/command.py
@@ -172,6 +172,75 @@
     sys.exit(1 if any(figures["breaches"].values()) else 0)
 
 
+@rig.group()
+def scale() -> None:
+    """What size costs."""
+
+
+PARTS = ("rank", "upstreams", "whole", "routes", "members", "calls", "pass")
+
+
+@scale.command()
+@click.option("--part", "parts", multiple=True, type=click.Choice(PARTS), help="Only this; several times.")
+@click.option("--upstreams", multiple=True, type=click.IntRange(1, 400_000),
+              default=(100, 5_000, 50_000, 200_000), show_default=True)
+@click.option("--routes", multiple=True, type=click.IntRange(1, 400_000),
+              default=(100, 1_000, 10_000, 60_000), show_default=True)
+@click.option("--members", multiple=True, type=click.IntRange(30, 50_000),
+              default=(70, 700, 4_096, 7_000), show_default=True)
+@click.option("--balancers", multiple=True, type=click.IntRange(2, 50_000),
+              default=(70, 700, 7_000), show_default=True)
+@click.option("--listeners", multiple=True, type=click.IntRange(1, 512),
+              default=(10, 100, 350, 512), show_default=True)
+@click.option("--seconds", default=8.0, show_default=True, help="Of each look at a process at rest.")
+@click.option("--rate", default=171.0, show_default=True, help="Requests a second; 0: none.")
+@click.option("--calls-per-s", default=200.0, show_default=True, help="What the list service can do.")
+@click.option("--data", type=click.Path(dir_okay=False, path_type=Path),
+              help="Data file that the slopes are written into; what is not measured stays in it.")
+@click.option("--plot", "drawn", type=click.Path(dir_okay=False, path_type=Path), help="Picture to draw.")
+@_told
+def slopes(parts: tuple[str, ...], upstreams: tuple[int, ...], routes: tuple[int, ...],
+           members: tuple[int, ...], balancers: tuple[int, ...], listeners: tuple[int, ...], seconds: float,
+           rate: float, calls_per_s: float, data: Path | None, drawn: Path | None) -> None:
+    """Measure what one balancer spends, by the size of what it is told; docs/CAPACITY.md reads the file."""
+    import tomllib
+    from datetime import date
+
+    from rich.console import Console
+    from rich.progress import BarColumn, Progress, TextColumn, TimeElapsedColumn
+
+    from ospreyline.rig import scale as scaling
+
+    before = tomllib.loads(data.read_text("utf-8")) if data is not None and data.exists() else {}
+    sizes = {"upstreams": upstreams, "routes": routes, "members": members, "balancers": balancers,
+             "listeners": listeners}
+    chosen = tuple(part for part in scaling.PARTS if part in (parts or scaling.PARTS))
+    console = Console(stderr=True)
+    with Progress(TextColumn("{task.description:24}"), BarColumn(), TimeElapsedColumn(),
+                  console=console) as progress:
+        task = progress.add_task("", total=len(list(scaling.steps(sizes, chosen))) + 1)
+
+        def step(what: str) -> None:
+            progress.update(task, description=what, advance=1)
+
+        try:
+            points = asyncio.run(scaling.measured(
+                sizes, chosen, seconds, rate, calls_per_s,
+                lambda text: progress.console.print(text, highlight=False), step))
+        except scaling.ScaleError as error:
+            click.echo(f"ospreyline: {error}", err=True)
+            sys.exit(3)
+    command = "ospreyline rig scale slopes" + "".join(f" --part {part}" for part in parts)
+    found = scaling.merged(before, points, date.today().isoformat(), command, scaling.machine())
+    text = scaling.toml(found)
+    if data is None:
+        click.echo(text, nl=False)
+    else:
+        data.write_text(text, "utf-8")
+    if drawn is not None:
+        scaling.plot(found, drawn)
+
+
 @rig.command()
 @click.argument("listen", default="127.0.0.1:9001")
 @click.option("--work", default=5.0, show_default=True, help="ms of a core that a request costs.")
