--- a/ospreyline/fleet/frames.py
+++ b/ospreyline/fleet/frames.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-VERSION = 2
+VERSION = 3
 MOST = 1 << 20  # bytes of a message
 HEAD = Struct(">2sBxII")  # mark, version, length, checksum
 MARK = b"os"
@@ -156,7 +156,85 @@
     closed: Ballot = NOBODY  # of an answer: nothing of this ballot and those before it runs any more
 
 
-Message = (Hello | Ask | Here | AskFor | Tell | Whole | Hint | Listen | Passed | Deaf | Sit | Pulse | Say)
+# a scope as a subscriber holds it: its name, epoch and number of its version, digest of what is in it
+Named = tuple[str, int, int, int]
+
+
+class Item(msgspec.Struct, frozen=True, array_like=True):
+    """A route or an upstream of a scope, as of number `n`; `told`: ms since the source said it leaves."""
+
+    key: str
+    n: int
+    state: int
+    body: bytes = b""
+    told: float = 0.0
+
+
+class Subscribe(_Message, tag="b", kw_only=True):
+    """Tell me of these scopes from now on; this is what I have of them."""
+
+    session: int  # of the subscriber with this publisher; a later one is greater
+    edition: int  # of what is wanted: the next one adds and drops, or names all anew (`whole`)
+    at: float  # ms on the subscriber's clock
+    rate: int  # bytes a second that it takes
+    scopes: list[Named] = []
+    drop: list[str] = []
+    whole: bool = False
+    more: bool = False  # the next edition goes on with the names
+    everything: bool = False  # all scopes, the ones to come as well
+    seen: int = 0  # the greatest epoch of which it has heard
+
+
+class Unsubscribe(_Message, tag="q", kw_only=True):
+    session: int
+
+
+class Got(_Message, tag="o", kw_only=True):
+    """What came, and that I am here."""
+
+    session: int
+    edition: int
+    at: float
+    holds: int = 0  # digest of all versions that are held
+    scopes: list[Named] = []  # as they are now, of those that something came for
+    answer: bool = True  # by `Told`
+    seen: int = 0
+
+
+class Change(_Message, tag="c", kw_only=True):
+    """A scope's newest state: what changed since a version, or all of it (`since` is 0, 0)."""
+
+    session: int
+    scope: str
+    epoch: int
+    n: int
+    since: tuple[int, int] = (0, 0)
+    items: list[Item] = []
+    digest: int = 0  # of the scope as it is then
+    gone: bool = False  # the scope is no more
+    drains: bool = False  # ahead of the rest: these leave, whatever else is still to be told
+    part: int = 0
+    parts: int = 1
+    echo: float = 0.0  # the latest `at` that came from the subscriber
+
+
+class Told(_Message, tag="r", kw_only=True):
+    """Answers `Got`: how old what the subscriber holds is."""
+
+    session: int
+    edition: int
+    echo: float
+    age: float = -1.0  # ms; all that it said to hold was the source's state then or later; -1: not known
+    own: float = -1.0  # the same of what the publisher holds itself
+    clean: bool = False  # nothing is to be told now
+    epoch: int = 0  # the publisher knows all up to this version
+    n: int = 0
+    again: bool = False  # name all that you want and hold
+    full: bool = False  # ask another
+
+
+Message = (Hello | Ask | Here | AskFor | Tell | Whole | Hint | Listen | Passed | Deaf | Sit | Pulse | Say
+           | Subscribe | Unsubscribe | Got | Change | Told)
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER = msgspec.msgpack.Decoder(Message)
 
--- a/tests/test_fleet_runs.py
+++ b/tests/test_fleet_runs.py
@@ -112,7 +112,7 @@
 
 @pytest.mark.parametrize(("wire", "why"), [
     (b"GET / HTTP/1.1\r\nHost: x\r\n\r\n", "no frame"),
-    (frames.HEAD.pack(frames.MARK, 1, 1 << 30, 0), "is the most"),
+    (frames.HEAD.pack(frames.MARK, frames.VERSION - 1, 1 << 30, 0), "is the most"),
     (frames.encode(frames.Ask(number=1)), "no hello"),
     (frames.encode(Hello(bank="other", me=Entry("x", "h:1", "z", 1, 0, ALIVE), to="a")), "another bank"),
     (frames.encode(Hello(bank="b", me=Entry("x", "h:1", "z", 1, 0, ALIVE), to="q")), "dialled for"),
