--- a/ospreyline/fleet/links.py
+++ b/ospreyline/fleet/links.py
@@ -44,7 +44,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
         self.links.open[self] = None
-        if len(self.links.open) > MOST_LINKS:
+        if len(self.links.open) > self.links.most:
             self.close("too many links")
         elif self.dialled:
             to = ANYBODY if self.name.startswith(ANYBODY) else self.name
@@ -52,6 +52,7 @@
 
     def data_received(self, data: bytes) -> None:
         now = self.heard = self.links.loop.time()
+        self.links.bytes_in += len(data)
         if now - self._second > 1.0:
             self._second, self._taken = now, 0
         self._taken += len(data)
@@ -94,6 +95,7 @@
     def write(self, message: Message) -> None:
         """Send, or let it wait; beyond the bound the oldest of its kind goes, then the oldest of all."""
         frame = encode(message)
+        self.links.bytes_out += len(frame)
         if self.transport is None:
             return
         if not self._paused and not self._waiting:
@@ -134,7 +136,9 @@
 
     def __init__(self, loop: asyncio.AbstractEventLoop, bank: str, log: Any, me: Callable[[], Entry],
                  greeted: Callable[[Entry, bool], None], heard: Callable[[str, Message], None],
-                 lost: Callable[[str], None], namesake: Callable[[Entry], None]) -> None:
+                 lost: Callable[[str], None], namesake: Callable[[Entry], None],
+                 most: int = MOST_LINKS, undialled: Callable[[str], None] | None = None) -> None:
+        """`most` links at once; `undialled` is told of one that did not come up."""
         self.loop = loop
         self.bank = bank
         self.me = me
@@ -143,6 +147,9 @@
         self.open: dict[Link, None] = {}
         self.by_name: dict[str, Link] = {}
         self.dropped = self.refused = 0
+        self.bytes_in = self.bytes_out = 0
+        self.most = most
+        self._undialled = undialled
         self._log = log
         self._greeted = greeted
         self._lost = lost
@@ -166,7 +173,7 @@
         if link is not None:
             link.used = self.loop.time()
             link.write(message)
-        elif at is not None and len(self.open) < MOST_LINKS:
+        elif at is not None and len(self.open) < self.most:
             waiting = self._first.setdefault(name, [])
             if len(waiting) < 16:  # guards: to one that does not come up little is kept
                 waiting.append(message)
@@ -180,6 +187,8 @@
                 await self.loop.create_connection(lambda: link, *at, local_addr=self._from)
         except (OSError, TimeoutError):
             self._first.pop(name, None)
+            if self._undialled is not None:
+                self._undialled(name)
         finally:
             self._dials.pop(name, None)
 
--- a/ospreyline/fleet/publisher.py
+++ b/ospreyline/fleet/publisher.py
@@ -33,6 +33,7 @@
 FORGET = 10_000.0  # ms without a word of a subscriber, after which it is forgotten
 RESEND = 1_000.0  # ms without an acknowledgement, after which a change is sent again
 BURST = 4.0  # s of a subscriber's rate that may go out at once
+MOST_BURST = 1 << 20  # bytes; a link takes 4 MiB a second
 WINDOW = 192 << 10  # bytes that are not acknowledged, of one subscriber, above which nothing more goes out
 PART = 32 << 10  # bytes of items in one message
 LEAST_RATE, MOST_RATE = 1 << 10, 2 << 20  # bytes a second
@@ -178,7 +179,7 @@
                 return
             rate = min(max(message.rate, LEAST_RATE), MOST_RATE)
             sub = _Subscribed(name, message.session, 0, message.at, now, rate, message.everything,
-                              rate * BURST, now)
+                              min(rate * BURST, MOST_BURST), now)
             self._subscribers[name] = sub
         elif message.session < sub.session or message.edition < sub.edition + (not message.whole):
             return  # guards: what is older than what we know of it
@@ -325,7 +326,7 @@
                 del self._busy[name]
 
     def _pump(self, now: float, sub: _Subscribed) -> None:
-        sub.tokens = min(sub.rate * BURST, sub.tokens + sub.rate * (now - sub.filled) / 1e3)
+        sub.tokens = min(sub.rate * BURST, MOST_BURST, sub.tokens + sub.rate * (now - sub.filled) / 1e3)
         sub.filled = now
         parted = sub.parts[0].scope if sub.parts else None
         for scope, on_way in list(sub.sent.items()):
--- a/ospreyline/fleet/subscriber.py
+++ b/ospreyline/fleet/subscriber.py
@@ -129,15 +129,22 @@
         self._beat, self._rate = beat, rate
         self._most, self._most_scopes = most_bytes, MOST_ALL if everything else most_scopes
         found = list(publishers)
-        self.order = sorted((n for n, _ in found), key=lambda n: mark("publisher", name, n))
+        hashed = sorted((n for n, _ in found), key=lambda n: mark("publisher", name, n))
         near = {n for n, z in found if z == zone}
-        self.order.sort(key=lambda n: n not in near)
-        self._at = 0
+        # the best is of our zone; then in turns with others, since a zone is lost as a whole
+        self.preferred = sorted(hashed, key=lambda n: n not in near)
+        self.order = _in_turns(self.preferred, len(near))
+        self._at = self._looks = 0
         self._pace = Pace(number, max(1, count), CALLS * max(1, len(self.order)), MUST, draw)
         self._pace.begin(now)
 
     # what the balancer wants
 
+    @property
+    def publishers(self) -> list[str]:
+        """Those that we speak with now."""
+        return list(self._sessions)
+
     def want(self, now: float, scope: str) -> bool:
         """Hold this scope from now on; of too many the least recently used one that is idle goes."""
         if scope in self._wanted:
@@ -321,16 +328,19 @@
         """Another than the one we have: the first of our order, or the next while ours is behind."""
         self._trial_at = inf
         current = self._sessions[self._current]
-        at = 0
         if current.own > STALE:
             self._at = (self._at + 1) % len(self.order)
-            at = self._at
-        if self.order[at] == self._current:
+            trial = self.order[self._at]
+        else:
+            better = self.preferred[:self.preferred.index(self._current)] or [self._current]
+            trial = better[self._looks % len(better)]
+            self._looks += 1
+        if trial == self._current:
             if current.own > STALE:
                 self._later(now)
             return
-        self._trial = self.order[at]
-        self._begin(now, self._trial)
+        self._trial = trial
+        self._begin(now, trial)
 
     # messages
 
@@ -366,6 +376,9 @@
                 self.complete = max(self.complete, (message.epoch, message.n))
         self._choose(now, session)
 
+    def _at_home(self) -> bool:
+        return self._current == self.preferred[0]
+
     def _choose(self, now: float, session: _Session) -> None:
         """Which publisher to have, by what this one has just said."""
         if session.name == self._trial:
@@ -374,7 +387,7 @@
                 self._say(old, Unsubscribe(session=self._sessions.pop(old).number))
                 self._at = self.order.index(self._current)
                 self._wander = WANDER
-                self._trial_at = inf if not self._at else now + HOME * (1 + self._draw())
+                self._trial_at = inf if self._at_home() else now + HOME * (1 + self._draw())
             elif now - session.since > SILENT:
                 self.lost(now, session.name)
         elif session.own > STALE:
@@ -385,7 +398,7 @@
                 self._later(now)
         else:
             self._wander = WANDER
-            if self._at and self._trial_at == inf and not self._trial:
+            if not self._at_home() and self._trial_at == inf and not self._trial:
                 self._trial_at = now + HOME * (1 + self._draw())
 
     def _change(self, now: float, message: Change) -> None:
@@ -561,3 +574,10 @@
         self.bytes += held.size - before
         if changed:
             self.news.append(News(message.scope, False, False, changed))
+
+
+def _in_turns(names: list[str], near: int) -> list[str]:
+    """The first of the near ones, the first of the others, the second of the near ones, and so on."""
+    some, others = names[:near], names[near:]
+    found = [name for pair in zip(some, others, strict=False) for name in pair]
+    return found + some[len(others):] + others[len(some):]
