Calls to discovery begin a period apart, whatever became of those before

Cause: waits grew with each failure to a quarter of MustAskInUs times 1.5 (decide.told_nothing), a call that said nothing was let be for 2.5 s and then dropped, one that was out was repeated after 4 s (decide._beat), with the pace of the operator's file a period grew to 3.8 s and Retry-After counted up to 0.4 of MustAskInUs, and a whole list that was due waited for a plain call that may trickle for 10 s. Three relatives: the answer of a plain call was taken for the word of a watch that had ended (nobody was asked any more); a move counted as an answer; one that was spared by others kept its rare call when those were gone.

--- /dev/null
+++ b/ospreyline/asking.py
@@ -0,0 +1,75 @@
+"""When a balancer calls the list service, so that it has the list soon after the service can be reached.
+
+Pure: times in ms and news in, the time of the next call out; `due` is inf while none is planned. Whatever
+became of the calls before, the next one begins a period after the one before it, so no chain of failures
+makes a wait longer: a call that fails is no reason to wait, one that says nothing gets another beside it.
+A balancer keeps its place in the period, so a bank that lost its service at once asks evenly.
+
+docs/crossings.md, "Told after 6 s", has the argument.
+"""
+
+from __future__ import annotations
+
+from math import inf
+
+LEAST, MOST = 1_400.0, 2_200.0  # ms, a period: three calls, or two, fit into 6 s with the last one's answer
+EACH = 7.0  # ms of a period for each balancer, in between
+PART = 0.4  # of the time without a call after which a balancer counts as told, the most that a period takes
+OPENING = 0.3  # of the same, the most that a first call waits
+FIRST, FIRST_EACH = 500.0, 10.0  # ms over which a bank's first calls are spread, and more for each balancer
+AGAIN = 250.0  # ms until a watch that ended after it spoke is asked for again, at the least
+SPREAD = 0.4  # of a period, over which a bank asks then
+SECOND, SECOND_SPREAD = 0.25, 0.3  # of a period, until the second call in a row, and spread over so much more
+
+
+def period_of(balancers: int, must_ask_in: float) -> float:
+    """ms between the beginnings of two calls of one balancer of a bank; `must_ask_in` in ms."""
+    return min(max(LEAST, min(MOST, EACH * balancers)), PART * must_ask_in)
+
+
+class Asking:
+    """The calls of one balancer to the list service."""
+
+    def __init__(self, place: float) -> None:
+        """`place`: from 0 to 1, where in each span of time shared with the others this balancer calls."""
+        self.due = inf
+        self.failures = 0  # in a row
+        self.place = place
+        self.period = self._spread = self._opening = LEAST
+        self._second, self._second_spread = SECOND, SECOND_SPREAD
+        self._began = -inf  # the latest call
+        self._told = False  # since then
+
+    def fit(self, balancers: int, must_ask_in: float) -> None:
+        """Figures of the start or of a reload: the size of the bank, and ms."""
+        self.period = period_of(balancers, must_ask_in)
+        self._spread = SPREAD * self.period
+        self._opening = min(OPENING * must_ask_in, FIRST + FIRST_EACH * balancers, self.period)
+
+    def begin(self, now: float, asks: bool) -> None:
+        """The first call is planned, if the list has to be asked for."""
+        # guards: hundreds that start at once ask a list service that serves some calls a second
+        self.due = now + self.place * self._opening if asks else inf
+
+    def called(self, now: float, anew: bool = False) -> None:
+        """A call goes out; anew: to another service, so that what failed before says nothing."""
+        self.failures = 0 if anew else self.failures
+        # guards: a call may connect and say nothing; the next one is made beside it, as if it had failed
+        self._began, self._told, self.due = now, False, now + self.period
+
+    def told(self) -> None:
+        """The service has said something on it; a list that was known before any call is no answer."""
+        if self._began > -inf:
+            self.due, self.failures, self._told = inf, 0, True
+
+    def failed(self, now: float) -> None:
+        """No call is out any more, the last one failed; or the watch has ended."""
+        if self._told or self.due == inf:
+            # guards: all watches of a service end at once
+            self._told, self.due = False, now + AGAIN + self._spread * self.place
+            return
+        self.failures += 1
+        if self.failures == 1:
+            # guards: one answer that broke off would cost a whole period
+            second = self._began + (self._second + self._second_spread * self.place) * self.period
+            self.due = min(self.due, max(now + AGAIN, second))
--- a/ospreyline/decide.py
+++ b/ospreyline/decide.py
@@ -17,6 +17,7 @@
 from random import Random
 from struct import Struct
 
+from ospreyline.asking import Asking
 from ospreyline.host import NEVER_RAN, Deployment, End, Host, Kind, Listed, PathPrefix, Readiness, Scope
 
 FACTOR = 1.4  # overprovisioning factor of a level's health
@@ -241,7 +242,7 @@
         self._rests: deque[Fetch] = deque(maxlen=99)  # the latest: long and short rests are compared
         self._capacity = 0.0  # visits a second that a warm upstream may be thought to carry for us
         self._places = self._probes_due = 0.0  # places: upstreams that we would use, were all healthy
-        self._ask_wait = 500.0
+        self._asking = Asking(self._random())  # when to ask for the list
         self._upstreams: dict[int, Upstream] = {}
         self._ring: list[Upstream] = []  # in an order that is the same at every balancer
         self._ready: list[Upstream] = []
@@ -283,12 +284,9 @@
         self._granted = 1 - SPARE * (1 - share)
         fields = terms.report_fields
         self._load_field = next((fields.index(f) for f in ("in-flight", "queue", "util") if f in fields), -1)
-        self._must_ask_in = terms.must_ask_in if terms.ask_for_list else inf
+        self._asking.fit(terms.balancers, terms.must_ask_in)
         if not again or old.ask_for_list != terms.ask_for_list:
-            self._watching = not terms.ask_for_list
-            # guards: hundreds that start at once ask a list service that serves some calls a second
-            spread = min(0.3 * terms.must_ask_in, 500.0 + 10 * terms.balancers)
-            self._ask_at = now + self._random() * spread if terms.ask_for_list else inf
+            self._asking.begin(now, terms.ask_for_list)
         self._place_in_ring = terms.number * GOLDEN % 1  # spread evenly, whichever numbers a zone has
         self._used_share = SHARED_BY * zones / terms.balancers
         self._order = [(terms.zone + i) % zones for i in range(zones)]  # own first
@@ -317,17 +315,17 @@
         u.zone, u.level = zone, self._levels[zone]
         u.level.out += len(u.out)
 
-    def told_all(self, now: float, lines: list[Listed]) -> None:
-        """The whole list: who is missing from it is gone."""
+    def told_all(self, now: float, lines: list[Listed], own: bool = True) -> None:
+        """The whole list: who is missing from it is gone. `own`: a watch of ours that stands has spoken."""
         named = {line.upstream for line in lines}
         for u in self._upstreams.values():
             u.ready = u.ready and u.id in named
-        self.told_changes(now, lines, first=not self._upstreams)
+        self.told_changes(now, lines, first=not self._upstreams, own=own)
 
-    def told_changes(self, now: float, lines: list[Listed], first: bool = False) -> None:
-        """Changes of the list; an answer to our call, if we had asked."""
-        if not first:
-            self._watching, self._ask_wait = True, 500.0
+    def told_changes(self, now: float, lines: list[Listed], first: bool = False, own: bool = True) -> None:
+        """Changes of the list; an answer to our call, if we had asked, unless they are not `own`."""
+        if own:
+            self._asking.told()
         for line in lines:
             u = self._upstreams.get(line.upstream)
             if u is None:
@@ -350,9 +348,11 @@
 
     def told_nothing(self, now: float) -> None:
         """A call for the list failed or the subscription broke: the old list stands, we ask again."""
-        self._watching = False
-        self._ask_at = now + self._ask_wait * (0.5 + self._random())
-        self._ask_wait = min(2 * self._ask_wait, 0.25 * self._must_ask_in, 8_000.0)
+        self._asking.failed(now)
+
+    def asked(self, now: float) -> None:
+        """The front has called by itself, elsewhere: what went before is over."""
+        self._asking.called(now, anew=True)
 
     def forget(self, upstream: int) -> None:
         """One that has long gone will not be named again."""
@@ -768,9 +768,8 @@
                 level.latency += BEAT / FORGET * (usual - level.latency)
                 level.kept += BEAT / FORGET * (1 - level.kept)
         self._rank(now)
-        if not self._watching and now >= self._ask_at:
-            # failed calls are told; one that is never answered is asked again, well before we are deemed told
-            self._ask_at = now + min(4_000.0, 0.4 * self._must_ask_in)
+        if now >= self._asking.due:
+            self._asking.called(now)
             self._host.watch(True)
         if self._terms.may_probe:
             self._probe(now)
--- a/ospreyline/fleet/bank.py
+++ b/ospreyline/fleet/bank.py
@@ -68,6 +68,7 @@
         self._cover = (-1, -1)
         self._hears = (1, 1)
         self._alone = False  # nobody tells us the list
+        self._spared = False  # others tell it us, or ask for it
         self._said_at = self._now() + 1e3
         self._status_at = 0.0
         self._writing: asyncio.Future[None] | None = None
@@ -104,7 +105,9 @@
             before = self.lists.passing or self._alone
             self.lists.tick(now)
             self._alone = self.lists.unheard(now)
-            if (self.lists.passing or self._alone) and not before:
+            spared, self._spared = self._spared, self.lists.asked_for_us(now)
+            # guards: whoever asked a service that is down for us may be gone before it is back
+            if ((self.lists.passing or self._alone) and not before) or (spared and not self._spared):
                 self._hasten()
         wanted = set(self.members.neighbours) | set(self.lists.sources if self.lists else ())
         if self.takeover is not None:
--- a/ospreyline/net/discovery.py
+++ b/ospreyline/net/discovery.py
@@ -1,7 +1,8 @@
 """The list of upstreams: asked for once, or watched; what comes is checked line by line.
 
 When to ask is decided elsewhere. A call that fails, or a watch that ends or falls silent, is told once. A new
-address is asked at once; the old one's watch is heard until the new one has said something.
+address is asked at once; the old one's watch is heard until the new one has said something. A call that has
+said nothing yet is left out beside the next one, two at most: it may be served in its turn, or never.
 """
 
 from __future__ import annotations
@@ -21,7 +22,7 @@
 # s without a whole line after which a watch is dead: an empty one is due every 2 s, and what is missed counts
 # as told 6 s after the last, which has to be enough for a call that is turned away and another
 QUIET = 2.5
-MOST_CALL = 10.0  # s that a call for the whole list may take in all
+MOST_CALL = 10.0  # s that a call for the whole list may take in all; others are made beside it meanwhile
 MOST_LINE = 8 << 20
 _TEXT = re.compile(rb'"(?:[^"\\]|\\.)*"')  # of JSON; it holds no line's end
 
@@ -205,6 +206,8 @@
         self._tell_failed = tell_failed
         self._calls: dict[_Call, asyncio.Task[None]] = {}
         self._watch: _Call | None = None
+        self.again = 1.4  # s after which a call for the whole list has another beside it
+        self._unspoken: _Call | None = None  # a watch before that has told nothing: who speaks first stays
         self._replaced: _Call | None = None  # the watch before, heard until the new one has spoken
         self._former: _Call | None = None  # the watch at the address before, likewise
         self._moved = False  # and it has not yet
@@ -215,7 +218,7 @@
         former = self._former or self._replaced or self._watch
         for call in [c for c in self._calls if c is not former]:
             self._drop(call)
-        self.at, self._former, self._watch, self._replaced = at, former, None, None
+        self.at, self._former, self._watch, self._replaced, self._unspoken = at, former, None, None, None
         self._moved = self._whole_due = True
         self.rev = 0  # guards: the new service may count otherwise, so it is asked for all that it has
         self.watch(True)
@@ -224,18 +227,27 @@
     def watching(self) -> bool:
         return self._watch is not None
 
+    @property
+    def told_by_watch(self) -> bool:
+        """Whether there is a watch that has told something."""
+        return self._watch is not None and self._watch.spoken
+
     def watch(self, on: bool) -> None:
         """Watch the list from now on, by a new call, or no longer."""
         old, self._watch = self._watch, None
         if old is not None and on and old.spoken and self._replaced is None:
             self._replaced = old  # guards: until the new one has spoken nobody else tells what changes
+        elif old is not None and on and not old.spoken and self._unspoken is None:
+            self._unspoken = old  # guards: in a queue it stands before the new one
         elif old is not None:
             self._drop(old)
         if on:
             self._watch = self._start(watching=True)
-        elif self._replaced is not None:
-            self._drop(self._replaced)
-            self._replaced = None
+            return
+        for call in (self._replaced, self._unspoken):
+            if call is not None:
+                self._drop(call)
+        self._replaced = self._unspoken = None
 
     def refresh(self) -> None:
         self._start(watching=False)
@@ -271,6 +283,12 @@
             if news is not None:
                 self._tell(news)
             return
+        if self._unspoken is not None and call in (self._unspoken, self._watch):
+            if call is self._unspoken:
+                self._watch, self._unspoken = call, self._watch
+            if self._unspoken is not None:
+                self._drop(self._unspoken)
+            self._unspoken = None
         if self._moved:
             self._moved = False
             former, self._former = self._former, None
@@ -300,6 +318,8 @@
                 return
         if news.whole or not call.watching:
             self._whole_due = False  # a plain call is told all that there is, whatever it says of itself
+            for other in [c for c in self._calls if not c.watching and c is not call]:
+                self._drop(other)
         self.rev = news.rev
         for other in self._calls:
             if other is not call:
@@ -316,19 +336,33 @@
         if call is self._replaced:
             self._replaced = None
             return
-        if call is self._watch:
+        beside = call in (self._unspoken, self._watch) and self._unspoken is not None
+        if beside:  # the other one is out yet, and the next is planned from when the later one began
+            self._watch = self._watch if call is self._unspoken else self._unspoken
+            self._unspoken = None
+        elif call is self._watch:
             self._watch, self._replaced = self._replaced, None
+        elif any(not c.watching for c in self._calls):
+            why = ""  # another call for the whole list is out
         elif not self._whole_due and self._watch is not None:
             why = ""  # guards: the watch that stands would be replaced for a call that nobody needs
         if why:
             self.log.warning("call to discovery failed", why=why, watch=call.watching)
-            self._tell_failed(call.retry_after)
+            if not beside:
+                self._tell_failed(call.retry_after)
 
     def tidy(self) -> None:
         """End calls that have fallen silent. Guards: a discovery that was cut off says nothing."""
         for call in list(self._calls):
             if call.silent(self.loop.time()):
                 call.stop("silent")
+        plain = [call for call in self._calls if not call.watching]
+        if plain and self._whole_due and self.loop.time() - plain[-1].since > self.again:
+            # guards: one that trickles keeps the others waiting; it is let be, for what it tells may be all
+            # that there is, and a new one is made beside it
+            if len(plain) > 1:
+                self._drop(plain[-1])
+            self.refresh()
 
     def close(self) -> None:
         for call in list(self._calls):
--- a/ospreyline/net/turn.py
+++ b/ospreyline/net/turn.py
@@ -19,6 +19,7 @@
 import structlog
 from msgspec import json, structs
 
+from ospreyline.asking import period_of
 from ospreyline.decide import Balancer, Visit
 from ospreyline.facts import Post
 from ospreyline.host import End, Kind, Listed, PathPrefix, Readiness
@@ -122,6 +123,7 @@
         self.discovery = Discovery(loop, post.discovery, known.rev if known else 0, self.logger,
                                    tell=lambda news: self.note(self._told, news),
                                    tell_failed=lambda wait: self.note(self._told_nothing, wait))
+        self._fit()
         now = clock()
         self.balancer = Balancer(self, post.terms, post.seed, now)
         self.balancer.told_all(now, self._lines(known) if known else [])
@@ -131,7 +133,7 @@
             later = 0.0
             if self.bank is not None and self.bank.lists is not None and not self.bank.lists.passing:
                 later = self.bank.lists.late(post.terms.must_ask_in)
-            self._pace.begin(now, later)
+            self._pace.start(now, later)
             self._plan()
         elif not post.terms.ask_for_list:
             self.discovery.watch(True)  # to the decisions it comes by itself: here a watch brings it
@@ -145,8 +147,7 @@
             from ospreyline.fleet.pace import Pace
 
             if self._pace is None:
-                draw = Random(self._post.seed + 1).random
-                self._pace = Pace(terms.number, terms.balancers, lists.calls_per_s, terms.must_ask_in, draw)
+                self._pace = Pace(terms.number, terms.balancers, lists.calls_per_s, terms.must_ask_in)
             else:
                 self._pace.adopt(terms.number, terms.balancers, lists.calls_per_s, terms.must_ask_in)
         elif self._pace is not None:
@@ -179,6 +180,10 @@
         self._zones = {name: i for i, name in enumerate(post.zone_names)}
         self._reports = post.terms.report_fields
 
+    def _fit(self) -> None:
+        terms = self._post.terms
+        self.discovery.again = period_of(terms.balancers, terms.must_ask_in) / 1e3
+
     def adopt(self, post: Post) -> None:
         """New settings, already checked: what came before is decided under the old ones, the rest by them."""
         self._turn()
@@ -188,9 +193,10 @@
         if self._operator is not None:
             self._switch_on(self._operator)  # the size of the bank has a part in the pace of calls
         self.balancer.set_terms(now, post.terms)
+        self._fit()
         # guards: told as a first list it renews no subscription, and what is cold or drained stays so
         lines = [self._line(target, self._indices[uid]) for uid, target in self._targets.items()]
-        self.balancer.told_changes(now, lines, first=True)
+        self.balancer.told_changes(now, lines, first=True, own=False)
         if not post.terms.ask_for_list and not self.discovery.watching and self._pace is None:
             self.discovery.watch(True)
         self._turn()
@@ -202,16 +208,21 @@
         if self._pace is not None and not paced:
             # guards: a watch that stands is heard on; without one the first call takes its place
             self._pace.called(clock())
-            if not self.discovery.watching:
+            if self.discovery.told_by_watch:
+                self._pace.told()
+            elif not self.discovery.watching:
                 self._pace.failed(clock())
             self._plan()
 
     def move(self, at: tuple[str, int]) -> None:
         """The list service is elsewhere now: it is called there at once."""
         self.discovery.move(at)
-        # guards: a wait that had grown while the former address failed would be that of the first call there,
-        # and one that was running would replace that call, which loses its place in the queue
-        self.balancer.told_changes(clock(), [])
+        # guards: a wait that was running for the former address would have another call made here at once;
+        # and the next would come only once this one, should it say nothing, has been given up
+        self.balancer.asked(clock())
+        if self._pace is not None:
+            self._pace.called(clock(), anew=True)
+            self._plan()
 
     # -- the turn -----------------------------------------------------------------------------------------
 
@@ -502,6 +513,7 @@
     def _call_list(self, now: float) -> None:
         if self._pace is not None and now >= self._pace.due:
             self._pace.called(now)
+            self._plan()
             self.discovery.watch(True)
 
     def _wanted(self, now: float) -> None:
@@ -550,16 +562,19 @@
         self.discovery.took(news.rev)
         lines = self._lines(news)
         if news.whole:
-            self.balancer.told_all(now, lines)
+            self.balancer.told_all(now, lines, own=False)
         else:
-            self.balancer.told_changes(now, lines)
+            self.balancer.told_changes(now, lines, own=False)
         if self._keeping is not None:
             self._keeping.told(changed=True)
 
     def _told(self, now: float, news: News) -> None:
         self._pushed, self._again = True, AGAIN
-        if self._pace is not None:
-            self._pace.heard(now)
+        # guards: what another call brings, or the watch at a former address, is no word of our own watch:
+        # taken for one, nobody would be asked any more when that has ended or while it says nothing
+        own = self.discovery.told_by_watch
+        if self._pace is not None and own:
+            self._pace.told()
         if self._keeping is not None:
             self._keeping.told(changed=news.whole or bool(news.targets))
         if self.bank is not None:
@@ -567,9 +582,9 @@
                 (target.uid, target.state == "left", json.encode(target)) for target, _ in news.targets])
         lines = self._lines(news)
         if news.whole:
-            self.balancer.told_all(now, lines)
+            self.balancer.told_all(now, lines, own)
         else:
-            self.balancer.told_changes(now, lines)
+            self.balancer.told_changes(now, lines, own=own)
 
     def _lines(self, news: News) -> list[Listed]:
         """News as the decisions take it; what the list says of connections is acted upon here."""
