The rig: an answer is not lost over a kept connection that has closed (the unanswered visits)

The story of the stopped owner had once left three visits without an answer in time. Cause: the rig's clients, not a balancer. They keep 32 idle connections to a balancer; an answer on one more closes the oldest. One that its balancer had closed meanwhile was still kept, without a transport (clients.py, Clients.idle), so that raised AttributeError inside the parser's callback; the parser words that as its own error, Conn.data_received takes it for an answer that cannot be read, and by then the try was no longer the connection's: it was never over, and at the end of its time noted as unanswered. It takes a burst at one balancer whose connections then close: in that story after the stop, when the machine makes the rig late.

--- a/ospreyline/rig/clients.py
+++ b/ospreyline/rig/clients.py
@@ -287,8 +287,10 @@
 
     def idle(self, conn: Conn) -> None:
         pool = self._pools[conn.balancer]
-        if len(pool) >= MOST_IDLE:
-            pool.popleft().transport.abort()
+        if len(pool) >= MOST_IDLE and (oldest := pool.popleft()).transport is not None:
+            # guards: one that has closed meanwhile is still here; a fault over it cost the answer that had
+            # just come, whose visit was then held for lost
+            oldest.transport.abort()
         pool.append(conn)
 
     def lost(self, conn: Conn) -> None:
