What times out while the process stands still is not told as the upstreams' slowness

A fetch that was out over a stop ended as timed out after all of the stop. Told so, each made its upstream and its zone look that slow: with 200 balancers and three zones, after a stop of 30 s, all was turned away for 4.2 s with no attempt (3.8 s after 10 s), by the decisions driven on their own clock. Turn.ended tells such a time-out as called off (it may have run, and says nothing of the upstream), and no fetch as having taken longer than its time.

--- a/ospreyline/net/turn.py
+++ b/ospreyline/net/turn.py
@@ -400,10 +400,16 @@
         self._settle(taken)
 
     def ended(self, now: float, taken: Taken, number: int, outcome: Answer | Cut) -> None:
-        end = end_of(outcome)
+        end = told = end_of(outcome)
         self.counts[end.name.lower()] += 1
         errand = taken.errands[number]
-        spent = now - errand.sent if errand is not None else 0.0
+        spent = 0.0
+        if errand is not None:
+            # guards: what goes beyond its time is our own lateness. Told as the upstreams', a stop of 30 s
+            # made all of them look as slow, and all was turned away for 4 s
+            spent = min(now, errand.expires) - errand.sent
+            if end is End.TIMED_OUT and now <= self.stood_to and errand.sent <= self._stood_from:
+                told = End.CANCELLED  # we did not listen: its answer may lie in the socket
         taken.timed_out = end is End.TIMED_OUT
         report: tuple[float, ...] = ()
         if isinstance(outcome, Answer):
@@ -415,7 +421,7 @@
                 if self.covering is None or self.covering.may_tell(now, taken, reply):
                     self._to_do.append((self.reply, reply))
         if taken.handle is not None:
-            taken.handle.ended(now, number, end, spent, taken.answered, report)
+            taken.handle.ended(now, number, told, spent, taken.answered, report)
             self._settle(taken)
 
     def answer_all(self) -> None:
