--- a/tests/test_cold_sum.py
+++ b/tests/test_cold_sum.py
@@ -191,6 +191,29 @@
     assert sum(used) / len(used) >= least, used
 
 
+@pytest.mark.parametrize(("balancers", "budget"), [(4, 1.0), (5, 10.0), (50, 10.0), (50, 100.0)])
+def test_draws_that_are_won_early_and_used_late_keep_to_the_budget_and_its_chance(balancers, budget):
+    # all draw while visits go elsewhere, send at the end of a window, and again as the next is drawn
+    hosts = [FakeHost([listed(0, came_up=100_000.0)], seed=seed, balancers=8 * balancers,
+                      **TERMS | {"cold_from": 1.0}) for seed in range(balancers)]
+    sends: list[float] = []
+    for step in range(400):
+        sending = 34 < step % 80 <= 44
+        for host in hosts:
+            granted(host, 0.8 * budget / balancers / 2)  # its warmth is 1
+            before = len(host.sends)
+            if sending:
+                greedy(host, tries=9)
+            else:
+                balancer = host.balancer
+                visit = Visit(balancer, -1, balancer._lanes[0], host.now, 2_500.0, False)
+                balancer._may_go(visit, balancer._upstreams[0], host.now)
+            sends += [host.now] * (len(host.sends) - before)
+            host.now += 50.0
+    windows = [sum(at - 2_000 < other <= at for other in sends) for at in sorted(set(sends))]
+    assert 0 < max(windows) <= budget + 2 * budget ** 0.5 + 2
+
+
 def test_three_processes_keep_to_the_budget_of_upstreams_that_return_cold(tmp_path):
     load = {"name": "read", "work_ms": 20.0, "target_ms": 400.0, "timeout_ms": 1_500.0}
     tree = {
