--- a/ospreyline/capacity/model.py
+++ b/ospreyline/capacity/model.py
@@ -272,34 +272,41 @@
 
 
 def _scoped(t: _Table, s: Size) -> None:
+    """What a balancer ranks is measured on today's text, at as many upstreams as it serves. The bank's own
+    links and members are off: nobody has to know all balancers."""
     r, h = rates(s), held(s)
-    share = h / s.services
-    near = (r.listed + r.configured) * share  # changes that one balancer is told
+    served = h * s.upstreams / s.services
     role = "balancer"
     t.add(SCOPED, role, "state", "bytes", t.part("fleet/scopes", "scoped_state_bytes", h))
-    t.add(SCOPED, role, "messages", "a second", t.part("fleet/subscriber", "scoped_rest_messages_s", h),
-          counted("changes of its services", near))
-    t.add(SCOPED, role, "bytes", "KB/s", t.part("at rest", "scoped_rest_bytes_s", h, 1e-3),
-          t.part("changes of its services", "scoped_change_bytes", h, near / 1e3),
+    t.add(SCOPED, role, "messages", "a second", t.part("fleet/subscriber", "scoped_messages_s", h))
+    t.add(SCOPED, role, "bytes", "KB/s", t.part("fleet/subscriber", "scoped_bytes_s", h, 1e-3),
           budget=s.kb_per_s, name="control bytes")
-    t.add(SCOPED, role, "processor time", "% of a core", t.part("at rest", "scoped_cpu_pct", h),
-          t.part("changes of its services", "scoped_change_cpu_ms", h, near / 10),
+    t.add(SCOPED, role, "processor time", "% of a core",
+          t.part("rankings of what it serves, at rest", "serve_cpu_pct", served),
+          t.part("fleet/subscriber", "scoped_cpu_pct", h),
+          t.part("changes of what it serves", "change_cpu_ms", served, r.listed * h / s.services / 10),
           budget=s.cpu_pct, name="control processor time")
-    t.add(SCOPED, role, "memory", "MB", t.part("the process and its services", "scoped_memory_mb", h),
+    t.add(SCOPED, role, "memory", "MB", t.part("the process, and what it serves", "serve_memory_mb", served),
+          t.part("fleet/scopes", "scoped_state_bytes", h, 1 / MB),
           budget=s.memory_mb, name="control memory")
+    t.add(SCOPED, role, "connections", "links", counted("machines that pass on", 1))
+    t.add(SCOPED, role, "time added to a request, 99 in 100", "ms",
+          t.part("wall time, 171 requests a second", "added_p99_ms", served), budget=s.added_ms,
+          name="added time")
     t.add(SCOPED, role, "a change of configuration in force", "s",
           t.part("source, fan-out, subscriber", "scoped_in_force_s", s.balancers),
           budget=s.in_force_s, name="in force everywhere")
     role, each = "passes scopes on", s.balancers / s.control_machines
-    out = (r.listed + r.configured) * s.balancers_a_service / s.control_machines
-    t.add(SCOPED, role, "messages", "a second", counted("fleet/publisher, changes", out))
-    t.add(SCOPED, role, "bytes", "KB/s", t.part("changes", "scoped_change_bytes", h, out / 1e3),
+    t.add(SCOPED, role, "messages", "a second", t.part("fleet/publisher", "fan_messages_s", each))
+    t.add(SCOPED, role, "bytes", "KB/s", t.part("fleet/publisher", "fan_bytes_s", each, 1e-3),
           budget=1e3 * s.machine_mb_per_s, name="network of a machine, assumed")
-    t.add(SCOPED, role, "processor time", "% of a core", t.part("at rest", "fan_rest_cpu_pct", each),
-          t.part("changes", "fan_change_cpu_us", each, out / 1e4), budget=100, name="one process")
+    t.add(SCOPED, role, "processor time", "% of a core", t.part("fleet/publisher", "fan_cpu_pct", each),
+          budget=100, name="one process")
     t.add(SCOPED, role, "memory", "MB", t.part("all services", "fan_memory_mb", s.upstreams))
     t.add(SCOPED, role, "connections", "links", counted("subscribers", each),
-          budget=MOST_LINKS, name="links kept")
+          budget=MOST_LINKS, name="links kept, as in fleet/links")
+    t.add(SCOPED, "client side", "state", "bytes",
+          counted("which balancers serve which service", 4 * s.services * s.balancers_a_service))
 
 
 # bad hours
@@ -364,7 +371,7 @@
           t.part("fleet/lists", "pass_on_cpu_us", s.balancers * SOURCES / s.control_machines, r_words / 1e6),
           budget=s.control_machines, name="machines set aside")
     t.add(SCOPED, ALL, "what a return costs each balancer, at the allowed bytes", "s",
-          t.part("differences", "fan_return_bytes", held(s), 1 / (1e3 * s.kb_per_s)))
+          t.part("fleet/subscriber", "scoped_return_bytes", held(s), 1 / (1e3 * s.kb_per_s)))
     t.add(SCOPED, ALL, "calls at the source", "a second",
           t.part("fan-out machines", "source_calls_most_s", s.control_machines),
           budget=s.calls_per_s, name="calls, assumed")
@@ -374,6 +381,10 @@
     t.add(SCOPED, CONTROL, "machines that are needed, by links", "machines",
           counted("fleet/links", s.balancers / MOST_LINKS),
           budget=s.control_machines, name="machines set aside")
+    each = s.balancers / s.control_machines
+    t.add(SCOPED, CONTROL, "machines that are needed, by processor time", "machines",
+          t.part("fleet/publisher, spread over fewer", "fan_cpu_pct", each, s.control_machines / 100),
+          budget=s.control_machines, name="machines set aside")
 
 
 ROLES: tuple[Callable[[_Table, Size], None], ...] = (_balancer, _passes, _service, _source, _ends, _scoped)
--- a/ospreyline/capacity/size.py
+++ b/ospreyline/capacity/size.py
@@ -48,7 +48,7 @@
     entries_a_restart: Count = 3  # of the list: it drains, it has left, another is there
     calls_per_s: Count = 200  # that the list service can do
     machine_mb_per_s: Count = 125  # network of a control machine
-    balancers_a_service: Count = 20  # scoped: balancers that serve one service
+    balancers_a_service: Count = 12  # scoped: balancers that serve one service
 
     def scaled(self, factor: float) -> Size:
         """All that grows with the fleet, so many times; budgets and what is assumed stay."""
--- a/ospreyline/rig/command.py
+++ b/ospreyline/rig/command.py
@@ -210,6 +210,7 @@
     from rich.progress import BarColumn, Progress, TextColumn, TimeElapsedColumn
 
     from ospreyline.rig import scale as scaling
+    from ospreyline.rig import slopefile
 
     before = tomllib.loads(data.read_text("utf-8")) if data is not None and data.exists() else {}
     sizes = {"upstreams": upstreams, "routes": routes, "members": members, "balancers": balancers,
@@ -231,14 +232,15 @@
             click.echo(f"ospreyline: {error}", err=True)
             sys.exit(3)
     command = "ospreyline rig scale slopes" + "".join(f" --part {part}" for part in parts)
-    found = scaling.merged(before, measured, date.today().isoformat(), command, scaling.machine())
-    text = scaling.toml(found)
+    found = slopefile.merged(before, measured.points, measured.reference, date.today().isoformat(), command,
+                             slopefile.machine())
+    text = slopefile.toml(found)
     if data is None:
         click.echo(text, nl=False)
     else:
         data.write_text(text, "utf-8")
     if drawn is not None:
-        scaling.plot(found, drawn)
+        slopefile.plot(found, drawn)
 
 
 @scale.command()
@@ -249,9 +251,33 @@
     """Draw the slopes of a data file."""
     import tomllib
 
-    from ospreyline.rig import scale as scaling
+    from ospreyline.rig import slopefile
+
+    slopefile.plot(tomllib.loads(data.read_text("utf-8")), picture)
+
+
+@scale.command(name="scoped")
+@click.argument("data", type=click.Path(dir_okay=False, exists=True, path_type=Path))
+@click.argument("runs", nargs=-1, required=True,
+                type=click.Path(dir_okay=False, exists=True, path_type=Path))
+@click.option("--command", "made_by", required=True, help="What made the runs, for the file.")
+@click.option("--machine", "made_on", help="Class of machine of the runs; else this one.")
+@_told
+def scoped(data: Path, runs: tuple[Path, ...], made_by: str, made_on: str | None) -> None:
+    """Write the slopes of scoped subscriptions into DATA, from the figures (JSON) of hollow RUNS."""
+    import json
+    import tomllib
+    from datetime import date
+
+    from ospreyline.rig import slopefile
 
-    scaling.plot(tomllib.loads(data.read_text("utf-8")), picture)
+    try:
+        points = slopefile.scoped([json.loads(run.read_text("utf-8")) for run in runs])
+    except (KeyError, TypeError, ValueError) as error:
+        raise ScenarioError(f"no figures of a hollow run: {error!r}") from error
+    found = slopefile.merged(tomllib.loads(data.read_text("utf-8")), points, [], date.today().isoformat(),
+                             made_by, made_on or slopefile.machine())
+    data.write_text(slopefile.toml(found), "utf-8")
 
 
 @rig.command()
--- a/ospreyline/rig/scale.py
+++ b/ospreyline/rig/scale.py
@@ -12,8 +12,6 @@
 import ctypes
 import gc
 import json
-import os
-import platform
 import signal
 import sys
 import tempfile
@@ -733,116 +731,6 @@
     found.add("pass_on_listeners", count, messages / max(2, 20_000 // count))
 
 
-def slope(by: str, unit: str, about: str) -> dict[str, str]:
-    return {"by": by, "unit": unit, "about": about}
-
-
-UPSTREAMS, ROUTES, MEMBERS = "upstreams listed", "path prefixes", "members of the bank"
-SLOPES = {
-    "rank_ms": slope(UPSTREAMS, "ms", "one ranking of `decide`, 5 a second and one with each change"),
-    "told_whole_ms": slope(UPSTREAMS, "ms", "the whole list taken into `decide`"),
-    "list_bytes": slope(UPSTREAMS, "bytes", "the whole list as one JSON object"),
-    "whole_line_taken": slope(UPSTREAMS, "1: yes", "whether the list is taken when it comes in one line"),
-    "start_cpu_s": slope(UPSTREAMS, "s", "processor time of `serve` from exec to serving"),
-    "start_log_bytes": slope(UPSTREAMS, "bytes", "log of `serve` up to serving"),
-    "serve_memory_mb": slope(UPSTREAMS, "MB", "resident memory of `serve`"),
-    "serve_cpu_pct": slope(UPSTREAMS, "% of a core", "processor time of `serve` at rest"),
-    "change_cpu_ms": slope(UPSTREAMS, "ms", "processor time of `serve` for one changed upstream"),
-    "change_bytes": slope(UPSTREAMS, "bytes", "one changed upstream on a watch"),
-    "reload_cpu_ms": slope(UPSTREAMS, "ms", "processor time of `serve` for SIGHUP with other settings"),
-    "added_p50_ms": slope(UPSTREAMS, "ms", "wall time added to a request, median"),
-    "added_p99_ms": slope(UPSTREAMS, "ms", "wall time added to a request, 99 in 100"),
-    "relay_p99_ms": slope(UPSTREAMS, "ms", "the same by a process that only passes bytes on"),
-    "direct_p99_ms": slope(UPSTREAMS, "ms", "the same requests without a balancer, 99 in 100, in all"),
-    "unanswered_share": slope(UPSTREAMS, "share", "requests without a 200 within 3 s"),
-    "routes_bytes": slope(ROUTES, "bytes", "path prefixes in the file of a balancer"),
-    "routes_check_ms": slope(ROUTES, "ms", "processor time of reading and checking that file"),
-    "routes_start_cpu_s": slope(ROUTES, "s", "processor time of `serve` from exec to serving"),
-    "routes_memory_mb": slope(ROUTES, "MB", "resident memory of `serve`, 100 upstreams"),
-    "routes_cpu_pct": slope(ROUTES, "% of a core", "processor time of `serve` at rest, 100 upstreams"),
-    "routes_reload_cpu_ms": slope(ROUTES, "ms", "processor time of `serve` for SIGHUP with other settings"),
-    "members_start_bytes": slope(MEMBERS, "bytes", "links of one member in its first 15 s, both ways"),
-    "members_start_messages": slope(MEMBERS, "messages", "the same, messages"),
-    "members_memory_mb": slope(MEMBERS, "MB", "resident memory of `serve`, 100 upstreams"),
-    "members_kept": slope(MEMBERS, "members", "members kept; over 4,096 the bound is lifted to measure"),
-    "members_cpu_pct": slope(MEMBERS, "% of a core", "processor time of `serve` at rest, 100 upstreams"),
-    "members_rest_messages_s": slope(MEMBERS, "a second", "messages of one member at rest, both ways"),
-    "members_rest_bytes_s": slope(MEMBERS, "bytes/s", "the same, bytes"),
-    "members_links": slope(MEMBERS, "links", "links that a member holds"),
-    "loss_cpu_ms": slope(MEMBERS, "ms", "processor time of `serve` for one member lost: suspected, dead"),
-    "loss_messages": slope(MEMBERS, "messages", "messages of one member for one lost, both ways"),
-    "loss_bytes": slope(MEMBERS, "bytes", "the same, bytes"),
-    "calls_alone_most_s": slope("balancers", "a second", "first calls at the list service, `decide` alone"),
-    "calls_paced_most_s": slope("balancers", "a second", "the same with `list.calls_per_s`, 200"),
-    "calls_paced_window_s": slope("balancers", "s", "until the last of those calls"),
-    "pass_on_cpu_us": slope("listeners", "us", "processor time a message of one who passes the list on"),
-    "pass_on_listeners": slope("listeners", "listeners", "that are told a change"),
-}
-
-
-def machine() -> str:
-    """The class of machine, in words."""
-    load = os.getloadavg()[0]
-    return (f"{platform.machine()}, {os.cpu_count()} cores, {platform.system()}, Python "
-            f"{platform.python_version()}, load {load:.0f} at the end")
-
-
-def toml(slopes: dict[str, dict[str, Any]]) -> str:
-    """The data file."""
-    out = ["# Measured slopes, which docs/CAPACITY.md and `ospreyline capacity` are worked out from.",
-           "# Written by `ospreyline rig scale slopes`, which leaves what it has not measured as it stands.",
-           "# A slope without points is not measured yet."]
-    for name, about in slopes.items():
-        out += ["", f"[{name}]"]
-        for key in ("by", "unit", "about", "date", "command", "machine"):
-            out.append(f"{key} = {json.dumps(about.get(key, ''))}")
-        if about.get("reference_ms"):
-            out.append(f"reference_ms = [{', '.join(f'{ms:.3g}' for ms in about['reference_ms'])}]")
-        points = ", ".join(f"[{size:g}, {value:.4g}]" if size < 1e6 else f"[{size:.0f}, {value:.4g}]"
-                           for size, value in about["points"])
-        out.append(f"points = [{points}]")
-    return "\n".join(out) + "\n"
-
-
-def merged(before: dict[str, dict[str, Any]], measured: Found, date: str, command: str,
-           on: str) -> dict[str, dict[str, Any]]:
-    """What stood there, with what was measured now; a slope that was measured now is measured anew whole."""
-    out = {name: dict(about) for name, about in before.items()}
-    ms = sorted(measured.reference)
-    for name, found in measured.points.items():
-        out[name] = {**SLOPES[name], "date": date, "command": command, "machine": on,
-                     "reference_ms": [ms[0], ms[len(ms) // 2], ms[-1]] if ms else [],
-                     "points": [[size, value] for size, value in found]}
-    return out
-
-
-def plot(slopes: dict[str, dict[str, Any]], out: Path) -> None:
-    """What grows with each size, log over log."""
-    import matplotlib
-
-    matplotlib.use("Agg")
-    from matplotlib import pyplot
-
-    groups = {
-        "upstreams listed": ("serve_memory_mb", "serve_cpu_pct", "rank_ms", "change_cpu_ms", "added_p99_ms"),
-        "path prefixes": ("routes_memory_mb", "routes_cpu_pct", "routes_check_ms", "routes_reload_cpu_ms"),
-        "members of the bank": ("members_memory_mb", "members_cpu_pct", "loss_cpu_ms", "loss_messages")}
-    figure, axes = pyplot.subplots(1, 3, figsize=(15, 5))
-    for axis, (title, names) in zip(axes, groups.items(), strict=True):
-        for name in names:
-            points = [(x, y) for x, y in slopes.get(name, {}).get("points", []) if y > 0]
-            if points:
-                axis.loglog(*zip(*points, strict=True), marker="o", label=f"{name}, {slopes[name]['unit']}")
-        axis.set_xlabel(title)
-        axis.grid(True, which="major", alpha=0.3)
-        if axis.lines:
-            axis.legend(fontsize=8)
-    figure.suptitle("What one balancer spends, by size")
-    figure.tight_layout()
-    figure.savefig(out, dpi=100)
-    pyplot.close(figure)
-
-
 PARTS = ("rank", "upstreams", "whole", "routes", "members", "calls", "pass")
 
 
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -13,7 +13,8 @@
 from ospreyline.capacity.command import SECTIONS, Report, figure, lasts
 from ospreyline.capacity.size import GROWS, Size, SizeError, parse
 from ospreyline.capacity.slopes import Slope, load
-from ospreyline.rig import scale
+from ospreyline.capacity.slopes import parse as parse_slopes
+from ospreyline.rig import slopefile
 
 PAGE = Path(__file__).parent.parent / "docs" / "CAPACITY.md"
 
@@ -87,7 +88,7 @@
     for name, slope in slopes.items():
         if slope.points:
             assert slope.date and slope.command and slope.machine and slope.unit, name
-    assert set(scale.SLOPES) <= set(slopes)
+    assert set(slopefile.SLOPES | slopefile.SCOPED) == set(slopes)
 
 
 # the arithmetic
@@ -199,13 +200,60 @@
 
 
 def test_what_is_not_measured_says_so_until_its_slope_has_points():
-    slopes = STRAIGHT | {"scoped_memory_mb": line()}
-    row = rows_of(Size(), slopes)["scoped", "balancer", "memory"]
+    slopes = STRAIGHT | {"scoped_bytes_s": line()}
+    row = rows_of(Size(), slopes)["scoped", "balancer", "bytes"]
     assert row.value is None
-    assert "| scoped | balancer | memory | not measured | 64 (control memory) | not measured |  |" in list(
+    assert "| scoped | balancer | bytes | not measured | 24 (control bytes) | not measured |  |" in list(
         Report(Size(), slopes).lines("roles"))
-    measured = rows_of(Size(), STRAIGHT | {"scoped_memory_mb": line((10, 40.0), (100, 50.0))})
-    assert measured["scoped", "balancer", "memory"].value == pytest.approx(41.0, abs=0.1)
+    measured = rows_of(Size(), STRAIGHT | {"scoped_bytes_s": line((1, 40.0), (100, 500.0))})
+    assert measured["scoped", "balancer", "bytes"].value == pytest.approx(0.0887, abs=0.0001)
+
+
+def test_a_scoped_balancers_cost_follows_what_it_serves_and_not_the_fleet():
+    """Twice the fleet: its rows stay. Twice the balancers of a service: they move."""
+    size = Size()
+    quantities = ("processor time", "memory", "state", "bytes")
+    before, twice, more = (rows_of(s) for s in (size, size.scaled(2), parse("balancers_a_service = 24")))
+    for quantity in quantities:
+        key = "scoped", "balancer", quantity
+        assert twice[key].value == pytest.approx(before[key].value, rel=1e-6)
+        assert more[key].value > before[key].value
+        if quantity in ("processor time", "memory"):
+            flat = "flat", "balancer", quantity
+            assert twice[flat].value > 1.5 * before[flat].value
+
+
+HOLLOW = {
+    "plan": {"subscribers": 700, "fanouts": 20, "services": 670, "upstreams": 20_000, "per": 7},
+    "held_bytes_a_subscriber": 9_000, "phases": {
+        "steady": {"seconds": 20.0, "in_force_ms": {"p99": 120.0}, "deaf_ms": {"count": 0, "most": 0.0},
+                   "subscriber": {"cpu_percent": 0.02, "bytes_a_second": 60.0, "words_a_second": 1.5},
+                   "fanout": {"cpu_percent": 2.0, "bytes_a_second": 900.0, "words_a_second": 40.0,
+                              "most_mb": 80.0},
+                   "source": {"most_calls_a_second": 3.0}},
+        "killed": {"seconds": 12.0, "in_force_ms": {"p99": 900.0}, "deaf_ms": {"count": 35, "most": 1_500.0},
+                   "subscriber": {}, "fanout": {"most_mb": 90.0}, "source": {"most_calls_a_second": 9.0}}}}
+
+
+def test_a_hollow_runs_figures_become_slopes(tmp_path):
+    data, run = tmp_path / "slopes.toml", tmp_path / "run.json"
+    data.write_text(slopefile.toml({name: {**about, "points": []} for name, about in
+                                    (slopefile.SLOPES | slopefile.SCOPED).items()}), "utf-8")
+    run.write_text(json.dumps(HOLLOW), "utf-8")
+    words = ["rig", "scale", "scoped", str(data), str(run), "--command", "hollow", "--machine", "small"]
+    assert CliRunner().invoke(main, words).exit_code == 0
+    found = parse_slopes(data.read_text("utf-8"))
+    assert found["scoped_state_bytes"].points == [(6.7, 9_000.0)]
+    assert found["scoped_in_force_s"].points == [(700.0, 0.12)]
+    assert found["scoped_deaf_s"].points == [(700.0, 1.5)]
+    assert found["fan_cpu_pct"].points == [(35.0, 2.0)]
+    assert found["fan_memory_mb"].points == [(20_000.0, 90.0)]
+    assert found["source_calls_most_s"].points == [(20.0, 9.0)]
+    assert found["scoped_return_bytes"].points == []
+    assert (found["fan_cpu_pct"].command, found["fan_cpu_pct"].machine) == ("hollow", "small")
+    run.write_text("{}", "utf-8")
+    broken = CliRunner().invoke(main, words)
+    assert (broken.exit_code, broken.output.count("\n")) == (2, 1)
 
 
 # what is printed
