--- a/ospreyline/capacity/size.py
+++ b/ospreyline/capacity/size.py
@@ -46,6 +46,7 @@
     waves_a_day: Count = 10  # in which the restarts of a day come
     wave_minutes: Count = 10
     entries_a_restart: Count = 3  # of the list: it drains, it has left, another is there
+    lines_per_s: Count = 2  # of a watch at the most: changes that come closer come together
     calls_per_s: Count = 200  # that the list service can do
     machine_mb_per_s: Count = 125  # network of a control machine
     balancers_a_service: Count = 12  # scoped: balancers that serve one service
@@ -57,8 +58,8 @@
 
 GROWS = ("balancers", "upstreams", "services", "requests_per_s", "routes", "tenants", "changes_a_day",
          "failures_a_day", "restarts_a_day")
-ASSUMED = ("rack_machines", "waves_a_day", "wave_minutes", "entries_a_restart", "calls_per_s",
-           "machine_mb_per_s", "balancers_a_service")
+ASSUMED = ("rack_machines", "waves_a_day", "wave_minutes", "entries_a_restart", "lines_per_s",
+           "calls_per_s", "machine_mb_per_s", "balancers_a_service")
 
 
 def parse(text: str) -> Size:
