--- a/ospreyline/fleet/hollow.py
+++ b/ospreyline/fleet/hollow.py
@@ -28,7 +28,6 @@
 SAMPLE = 0.5  # s between two looks at how old things are
 MOST_OF_ONE = 256  # upstreams in a scope: a larger service is several scopes
 ROUTES = 9  # of a service
-REPLACED = 3.0  # s from a drain to the end, and the one that comes in its place
 BANK = "hollow"
 
 
@@ -193,7 +192,7 @@
                 else:
                     key = f"u{self.draw.randrange(self.sizes[i])}"
                     self.put(f"s{i}", key, LEAVING, "drain")
-                    self.planned.append((now + 1e3 * REPLACED, f"s{i}", key))
+                    self.planned.append((now + 1e3 * self.what["gone_after_s"], f"s{i}", key))
         while self.planned and now >= self.planned[0][0]:
             _, scope, key = self.planned.pop(0)
             self.put(scope, key, GONE, "gone")
@@ -212,7 +211,8 @@
 
     def status(self) -> dict[str, Any]:
         return {**self.bytes(self.node.links), "backlog": self.source.publisher.backlog(),
-                "changes": len(self.changes), "subscribers": len(self.source.publisher),
+                "changes": len(self.changes), "planned": len(self.planned),
+                "subscribers": len(self.source.publisher),
                 "sent": self.source.publisher.sent, "snapshots": self.source.publisher.snapshots}
 
     def end(self) -> None:
--- a/ospreyline/rig/hollow.py
+++ b/ospreyline/rig/hollow.py
@@ -45,7 +45,7 @@
     fault_s: float = 12.0
     restart_s: float = 60.0
     cut_s: float = 20.0
-    end_s: float = 6.0
+    gone_after_s: float = 3.0  # from a drain to the end, and the one that comes in its place
     of_a_process: int = OF_A_PROCESS
 
 
@@ -135,8 +135,9 @@
 
     async def _begin(self, process: Process, what: dict[str, Any]) -> None:
         plan = asdict(self.plan)
-        await process.start({**{k: plan[k] for k in ("services", "upstreams", "subscribers", "per", "seed",
-                                                    "config_per_s", "replaced_per_s")}, **what})
+        keys = ("services", "upstreams", "subscribers", "per", "seed", "config_per_s", "replaced_per_s",
+                "gone_after_s")
+        await process.start({**{key: plan[key] for key in keys}, **what})
 
     async def _load(self) -> None:
         begun = monotonic()
@@ -227,9 +228,23 @@
             process.order({"cut": ""})
         await self._phase("region healed", 12.0)
 
+    def _at_rest(self) -> bool:
+        """Nothing is to come, and nobody who lives is behind."""
+        rows = [p.rows[-1] for p in [self.source, *self.fans] if not p.gone]
+        since = self.spans[-1][1] + 1e3
+        return not self.source.rows[-1]["planned"] and all(
+            row["t"] > since and row["phase"] == "end" and not row["backlog"] for row in rows)
+
     async def _gather(self) -> dict[str, Any]:
         self.source.order({"quiet": True})
-        await self._phase("end", self.plan.end_s)
+        await self._phase("end", 1.0)
+        begun = monotonic()
+        while not self._at_rest():
+            if monotonic() - begun > END_S:
+                raise HollowError(f"changes were still on their way after {END_S:.0f} s")
+            self.say("the last changes")
+            await asyncio.sleep(0.1)
+        self.spans[-1] = ("end", self.spans[-1][1], 1e3 * monotonic())
         for process in self.all:
             process.order({"end": True})
         self.say("gathering")
@@ -345,7 +360,8 @@
     plan = found["plan"]
     lines = [f"{plan['subscribers']} balancers, {plan['fanouts']} fan-out machines, "
              f"{plan['services']} services, {plan['upstreams']} upstreams; "
-             f"{found['records_a_subscriber']:.0f} records a balancer; all had all after {found['loaded_s']['all_s']:.0f} s"]
+             f"{found['records_a_subscriber']:.0f} records a balancer; all had all after "
+             f"{found['loaded_s']['all_s']:.0f} s"]
     for name, phase in found["phases"].items():
         force, deaf = phase["in_force_ms"], phase["deaf_ms"]
         lines.append(
--- /dev/null
+++ b/tests/test_hollow.py
@@ -0,0 +1,104 @@
+"""The hollow run in small: real modules, frames and sockets; what is asserted is counted, not timed."""
+
+from __future__ import annotations
+
+import asyncio
+from random import Random
+
+import pytest
+from click.testing import CliRunner
+
+from ospreyline.fleet import hollow as process
+from ospreyline.fleet.frames import Change, encode
+from ospreyline.fleet.publisher import Fanout, Source
+from ospreyline.fleet.scopes import HERE, LEAVING
+from ospreyline.fleet.subscriber import Subscriber
+from ospreyline.rig import hollow
+
+SMALL = hollow.Plan(subscribers=40, fanouts=3, services=30, upstreams=400, per=4, config_per_s=6.0,
+                    replaced_per_s=4.0, steady_s=1.5, fault_s=4.0, gone_after_s=0.5, of_a_process=20)
+
+
+def test_every_change_reaches_all_that_serve_it_also_while_a_machine_is_silent():
+    run = hollow.Run(SMALL, ["steady", "stopped"], lambda text: None)
+    found = asyncio.run(run.play())
+    wanted = sum(len(w) for p in run.subs for _, w in p.last["wants"])
+    assert wanted == 30 * 4
+    for name, phase in found["phases"].items():
+        assert phase["never"] == 0, name
+        assert phase["in_force_ms"]["count"] == 4 * phase["changes"], name
+    assert found["phases"]["steady"]["changes"] and found["phases"]["one stopped"]["changes"]
+    # who had the silent machine has gone to another, and nobody had to doubt what it held
+    assert sum(p.rows[-1]["moves"] for p in run.subs) > SMALL.subscribers
+    assert not any(p.rows[-1]["doubts"] for p in run.subs)
+    # a change costs a message for each that serves it, and one for each machine that passes on
+    changes = len(run.source.last["changes"])
+    assert run.source.rows[-1]["sent"] <= 3 * 30 + 3 * 2 * changes
+
+
+class Bank:
+    """One source, one fan-out machine and balancers in memory: what goes is counted."""
+
+    def __init__(self, upstreams: int, services: int, balancers: int, per: int) -> None:
+        self.now, draw = 1_000.0, Random(3).random
+        self.source = Source(1_000, draw)
+        for i in range(services):
+            found = [(f"u{k}", HERE, b"x" * 90) for k in range(upstreams // services)]
+            self.source.put(self.now, f"s{i}", found)
+        self.fan = Fanout(Subscriber("f", 1, [("source", "")], draw, self.now, everything=True, rate=2 << 20,
+                                     most_bytes=1 << 30))
+        self.subs = [Subscriber(f"b{i}", 1, [("f", "")], draw, self.now, number=i, count=balancers)
+                     for i in range(balancers)]
+        for i, wanted in enumerate(process.assigned(services, balancers, per, 1)):
+            for one in wanted:
+                self.subs[i].want(self.now, f"s{one}")
+        self.messages = self.bytes = self.items = 0
+
+    def turn(self, seconds: float) -> None:
+        ends = {s.name: s for s in self.subs} | {"f": self.fan, "source": self.source}
+        for _ in range(int(seconds * 20)):
+            self.now += 50.0
+            for one in ends.values():
+                one.tick(self.now)
+            for _ in range(3):
+                for name, one in ends.items():
+                    out = one.take_out() if isinstance(one, Fanout) else list(one.out)
+                    if not isinstance(one, Fanout):
+                        one.out.clear()
+                    for to, message in out:
+                        if to.startswith("b") and isinstance(message, Change):
+                            self.messages += 1
+                            self.items += len(message.items)
+                            self.bytes += len(encode(message))
+                        ends[to].heard(self.now, name, message)
+
+
+@pytest.mark.parametrize("per", [3, 6])
+def test_what_a_change_costs_follows_those_who_serve_it_and_not_the_fleet(per):
+    costs = []
+    for upstreams, services in ((200, 10), (2_000, 100), (20_000, 1_000)):
+        bank = Bank(upstreams, services, balancers=20, per=per)
+        bank.turn(60)
+        held = [len(s.records) for sub in bank.subs for s in sub.scopes.values()]
+        assert len(held) == services * per and set(held) == {20}
+        bank.messages = bank.bytes = bank.items = 0
+        for i in range(10):
+            bank.source.put(bank.now, f"s{i}", [("u1", LEAVING, b"")])
+            bank.turn(0.5)
+        costs.append((bank.messages, bank.items, bank.bytes // 100))
+    # the same three times: a drain ahead, the change, for each balancer that serves it, with one record
+    assert costs[0][:2] == costs[1][:2] == costs[2][:2] == (2 * 10 * per, 2 * 10 * per)
+    assert max(c[2] for c in costs) - min(c[2] for c in costs) <= 0.1 * costs[0][2] + 1
+
+
+def test_services_are_as_many_and_as_large_as_planned():
+    sizes = process.sizes(6_700, 200_000, 1)
+    assert len(sizes) == 6_700 and abs(sum(sizes) - 200_000) < 4_000 and max(sizes) <= process.MOST_OF_ONE
+    found = process.assigned(670, 700, 12, 1)
+    assert sum(map(len, found)) == 670 * 12 and found == process.assigned(670, 700, 12, 1)
+
+
+@pytest.mark.parametrize("options", [["--steps", "nonsense"], ["--fanouts", "0"], ["--per", "0"]])
+def test_wrong_options_are_one_line(options):
+    found = CliRunner().invoke(hollow.scopes, options)
+    assert found.exit_code == 2 and found.output.startswith("ospreyline: ") and found.output.count("\n") == 1
