--- a/ospreyline/rig/hollow.py
+++ b/ospreyline/rig/hollow.py
@@ -179,10 +179,14 @@
                 raise HollowError(f"{what}: {found} of {most} had all after {LOAD_S:.0f} s")
             await asyncio.sleep(0.2)
 
-    async def _phase(self, name: str, seconds: float) -> None:
+    async def _phase(self, name: str, seconds: float, then: Callable[[], None] | None = None) -> None:
+        """So many seconds under this name; `then` is done once all know of it."""
         for process in self.all:
             process.order({"phase": name})
         begun = monotonic()
+        if then is not None:
+            await asyncio.sleep(min(1.1, seconds / 4))  # each has said once how it stood before
+            then()
         while (left := begun + seconds - monotonic()) > 0:
             self.say(f"{name}: {left:.0f} s left")
             await asyncio.sleep(min(0.25, left))
@@ -194,9 +198,11 @@
 
     async def _without(self, name: str, lost: list[Process], number: int) -> None:
         """Some are stopped or killed as the phase begins; what was stopped goes on after it, and is heard."""
-        for process in lost:
-            process.signal(number)
-        await self._phase(name, self.plan.fault_s)
+        def lose() -> None:
+            for process in lost:
+                process.signal(number)
+
+        await self._phase(name, self.plan.fault_s, lose)
         for process in lost:
             process.signal(signal.SIGCONT)
         await self._phase(f"after {name}", self.plan.fault_s / 2)
@@ -213,20 +219,22 @@
         await self._without(f"{count} killed", self.fans[-count:], signal.SIGKILL)
 
     async def _restart(self) -> None:
-        for process in self.subs:
-            process.order({"restart_s": self.plan.restart_s})
-        await self._phase("all restarted", self.plan.restart_s + 8.0)
+        def restart() -> None:
+            for process in self.subs:
+                process.order({"restart_s": self.plan.restart_s})
+
+        await self._phase("all restarted", self.plan.restart_s + 8.0, restart)
 
     async def _region(self) -> None:
         """One region is cut off from all others and the source, then healed."""
         cut = self.regions[2 % len(self.regions)]
         inside = self.fans[2 % len(self.regions)::len(self.regions)]
-        for process in [*inside, *self.subs]:
-            process.order({"cut": cut})
-        await self._phase("region cut", self.plan.cut_s)
-        for process in [*inside, *self.subs]:
-            process.order({"cut": ""})
-        await self._phase("region healed", 12.0)
+        def become(cut: str) -> None:
+            for process in [*inside, *self.subs]:
+                process.order({"cut": cut})
+
+        await self._phase("region cut", self.plan.cut_s, lambda: become(cut))
+        await self._phase("region healed", 12.0, lambda: become(""))
 
     def _at_rest(self) -> bool:
         """Nothing is to come, and nobody who lives is behind."""
--- a/tests/test_hollow.py
+++ b/tests/test_hollow.py
@@ -5,6 +5,7 @@
 import asyncio
 from random import Random
 
+import numpy as np
 import pytest
 from click.testing import CliRunner
 
@@ -13,7 +14,7 @@
 from ospreyline.fleet.publisher import Fanout, Source
 from ospreyline.fleet.scopes import HERE, LEAVING
 from ospreyline.fleet.subscriber import Subscriber
-from ospreyline.rig import hollow
+from ospreyline.rig import hollow, placing
 
 SMALL = hollow.Plan(subscribers=40, fanouts=3, services=30, upstreams=400, per=4, config_per_s=6.0,
                     replaced_per_s=4.0, steady_s=1.5, fault_s=4.0, gone_after_s=0.5, of_a_process=20)
@@ -102,3 +103,19 @@
 def test_wrong_options_are_one_line(options):
     found = CliRunner().invoke(hollow.scopes, options)
     assert found.exit_code == 2 and found.output.startswith("ospreyline: ") and found.output.count("\n") == 1
+
+
+def test_a_service_loses_one_balancer_of_its_own_with_a_zone_and_keeps_the_others_when_one_goes():
+    zones = np.arange(400) % 16
+    placed = placing.rendezvous(200, zones, 6, True)
+    assert all(len(set(zones[row])) == 6 for row in placed)
+    assert placing.lost(placed, zones == 3)["most_lost"] == pytest.approx(1 / 6)
+    # a balancer that goes moves nobody else: the others of each service are those that it had
+    fewer = placing.rendezvous(200, zones[:-1], 6, True)
+    for before, after in zip(placed.tolist(), fewer.tolist(), strict=True):
+        assert len(set(before) - set(after)) <= (399 in before)
+
+
+def test_a_working_set_that_is_too_small_makes_requests_wait():
+    waits = [placing.on_demand(100, 2_000, held, 10.0, 1, requests=20_000)["missed"] for held in (5, 20, 80)]
+    assert waits == sorted(waits, reverse=True) and waits[0] > 0.4 > 0.1 > waits[2]
