--- a/ospreyline/fleet/hollow.py
+++ b/ospreyline/fleet/hollow.py
@@ -69,6 +69,7 @@
                  take: Callable[[str, Message], None], lost: Callable[[str], None], most: int = 64) -> None:
         me = Entry(name, "", "", int(time() * 1e3), 0, ALIVE)
         self.at, self.blocked = at, set[str]()
+        self.said = 0  # messages
         self.take = take
         self.links = Links(loop, BANK, Log(), lambda: me, lambda entry, wanted: None, self._heard, lost,
                            lambda entry: None, most, lost)
@@ -80,6 +81,7 @@
     def send(self, out: list[tuple[str, Message]]) -> None:
         for to, message in out:
             if to not in self.blocked:
+                self.said += 1
                 dial = isinstance(message, Subscribe | Got)
                 self.links.send(to, self.at.get(to) if dial else None, message)
 
@@ -210,7 +212,8 @@
             self.next = dict.fromkeys(self.every, float("inf"))
 
     def status(self) -> dict[str, Any]:
-        return {**self.bytes(self.node.links), "backlog": self.source.publisher.backlog(),
+        return {**self.bytes(self.node.links), "said": self.node.said,
+                "backlog": self.source.publisher.backlog(),
                 "changes": len(self.changes), "planned": len(self.planned),
                 "subscribers": len(self.source.publisher),
                 "sent": self.source.publisher.sent, "snapshots": self.source.publisher.snapshots}
@@ -248,7 +251,8 @@
     def status(self) -> dict[str, Any]:
         down: Publisher = self.fan.down
         self.node.links.tidy(set(self.node.links.by_name), 1e9)
-        return {**self.bytes(self.node.links), "subscribers": len(down), "backlog": down.backlog(),
+        return {**self.bytes(self.node.links), "said": self.node.said, "subscribers": len(down),
+                "backlog": down.backlog(),
                 "ready": self.fan.up.complete[0] > 0, "scopes": len(self.fan.up.scopes), "sent": down.sent,
                 "age": min(1e9, now_ms() - self.fan.up.fresh), "snapshots": down.snapshots,
                 "resent": down.resent}
@@ -260,7 +264,7 @@
     def __init__(self, process: SubscriberProcess, number: int, wants: list[str]) -> None:
         self.process, self.number, self.wants = process, number, wants
         self.name = f"b{number}"
-        self.links_in = self.links_out = 0
+        self.links_in = self.links_out = self.said = 0
         self.restart_at = float("inf")
         self.begin()
 
@@ -281,6 +285,7 @@
         self.restart_at = float("inf")
         self.links_in += self.node.links.bytes_in
         self.links_out += self.node.links.bytes_out
+        self.said += self.node.said
         self.node.links.close()
         self.begin()
 
@@ -379,6 +384,7 @@
     def status(self) -> dict[str, Any]:
         return {"in": sum(o.links_in + o.node.links.bytes_in for o in self.all),
                 "out": sum(o.links_out + o.node.links.bytes_out for o in self.all),
+                "said": sum(o.said + o.node.said for o in self.all),
                 "whole": sum(o.whole_at < float("inf") for o in self.all), "subscribers": len(self.all),
                 "moves": sum(o.sub.moves for o in self.all), "taken": sum(o.sub.taken for o in self.all),
                 "doubts": sum(o.sub.doubts for o in self.all)}
--- a/ospreyline/rig/hollow.py
+++ b/ospreyline/rig/hollow.py
@@ -125,6 +125,7 @@
     async def play(self) -> dict[str, Any]:
         try:
             await self._load()
+            self.source.order({"changes": True})
             for step in self.steps:
                 await getattr(self, f"_{step}")()
             return await self._gather()
@@ -193,7 +194,6 @@
         self.spans.append((name, 1e3 * begun, 1e3 * monotonic()))
 
     async def _steady(self) -> None:
-        self.source.order({"changes": True})
         await self._phase("steady", self.plan.steady_s)
 
     async def _without(self, name: str, lost: list[Process], number: int) -> None:
@@ -323,11 +323,37 @@
             "subscriber": used(run.subs, name)}
     plan = asdict(run.plan)
     subscribers = max(1, run.plan.subscribers)
-    return {"plan": plan, "loaded_s": {k: round(v, 1) for k, v in run.loaded.items()},
+    return {"slopes": slopes(run.plan, phases, held / subscribers),
+            "plan": plan, "loaded_s": {k: round(v, 1) for k, v in run.loaded.items()},
             "records_a_subscriber": round(records / subscribers, 1),
             "held_bytes_a_subscriber": round(held / subscribers), "phases": phases}
 
 
+def slopes(plan: Plan, phases: dict[str, Any], held: float) -> dict[str, list[float]]:
+    """Points for the table of capacity, as (size, figure): each by its own unit of size."""
+    services = plan.services * plan.per / plan.subscribers
+    found = {"scoped_state_bytes": [services, held]}
+    if (steady := phases.get("steady")) is not None:
+        one, fan, each = steady["subscriber"], steady["fanout"], plan.subscribers / plan.fanouts
+        found |= {
+            "scoped_cpu_pct": [services, one["cpu_percent"]],
+            "scoped_bytes_s": [services, one["bytes_a_second"]],
+            "scoped_messages_s": [services, one["words_a_second"]],
+            "scoped_in_force_s": [plan.subscribers, steady["in_force_ms"]["p99"] / 1e3],
+            "fan_cpu_pct": [each, fan["cpu_percent"]], "fan_bytes_s": [each, fan["bytes_a_second"]],
+            "fan_messages_s": [each, fan["words_a_second"]],
+            "fan_memory_mb": [plan.upstreams, fan["most_mb"]]}
+    if (restarted := phases.get("all restarted")) is not None:
+        found["scoped_return_bytes"] = [
+            services, restarted["subscriber"]["bytes_a_second"] * restarted["seconds"]]
+    deaf = [p["deaf_ms"]["most"] for name, p in phases.items() if name.endswith(("killed", "stopped"))]
+    if deaf:
+        found["scoped_deaf_s"] = [plan.subscribers, max(deaf) / 1e3]
+    found["source_calls_most_s"] = [
+        plan.fanouts, max((p["source"]["most_calls_a_second"] for p in phases.values()), default=0.0)]
+    return found
+
+
 def used(processes: list[Process], phase: str) -> dict[str, float]:
     """What one of a role used in a phase: means over all, and the most of one second of one process."""
     cpu = seconds = went = calls = words = moves = 0.0
@@ -354,7 +380,7 @@
         cpu += rows[-1]["cpu"] - rows[0]["cpu"]
         went += rows[-1]["in"] + rows[-1]["out"] - rows[0]["in"] - rows[0]["out"]
         calls += rows[-1]["calls"] - rows[0]["calls"]
-        words += rows[-1]["words"] - rows[0]["words"]
+        words += rows[-1]["words"] - rows[0]["words"] + rows[-1]["said"] - rows[0]["said"]
         moves += rows[-1].get("moves", 0) - rows[0].get("moves", 0)
     seconds = max(seconds, 1e-3)
     return {"cpu_percent": round(100 * cpu / seconds, 4), "bytes_a_second": round(went / seconds, 1),
