--- a/ospreyline/fleet/subscriber.py
+++ b/ospreyline/fleet/subscriber.py
@@ -47,7 +47,7 @@
 CALLS = 500.0  # subscribers a second that a publisher takes
 BYTES = 24 << 10  # a second that a balancer takes
 MOST_BYTES = 32 << 20  # that are held
-MOST_SCOPES = 1_024  # that a balancer wants at once
+MOST_SCOPES = 1_000  # that a balancer wants at once, and so names in one message
 MOST_ALL = 1 << 14  # that one that wants everything holds
 MOST_PARTS = 1_024  # of a change
 NAMES = 1_000  # in a message
@@ -403,10 +403,10 @@
 
     def _change(self, now: float, message: Change) -> None:
         name, version = message.scope, (message.epoch, message.n)
-        if (len(name) > MOST_NAME or not 0 < message.epoch <= MOST_EPOCH or message.echo > now
+        if (len(name) > MOST_NAME or not 0 < message.epoch <= MOST_EPOCH or not message.echo <= now
                 or not 0 <= message.part < message.parts <= MOST_PARTS
                 or any(len(i.key) > MOST_NAME or len(i.body) > MOST_BODY or not HERE <= i.state <= GONE
-                       or i.told < 0 or i.n > message.n for i in message.items)):
+                       or not i.told >= 0 or i.n > message.n for i in message.items)):
             self.ignored += 1
             return
         held = self.scopes.get(name)
