--- a/ospreyline/rig/placing.py
+++ b/ospreyline/lab/placing.py
@@ -1,6 +1,6 @@
 """Which balancer serves which service: the options of docs/scopes.md in figures, drawn or worked out.
 
-    python -m ospreyline.rig.placing
+    python -m ospreyline.lab.placing
 
 Simulated: services with as many upstreams and requests as a lognormal or Zipf draw gives them, balancers in
 zones and racks. No process is started.
--- a/tests/test_hollow.py
+++ b/tests/test_hollow.py
@@ -14,7 +14,8 @@
 from ospreyline.fleet.publisher import Fanout, Source
 from ospreyline.fleet.scopes import HERE, LEAVING
 from ospreyline.fleet.subscriber import Subscriber
-from ospreyline.rig import hollow, placing
+from ospreyline.lab import placing
+from ospreyline.rig import hollow
 
 SMALL = hollow.Plan(subscribers=40, fanouts=3, services=30, upstreams=400, per=4, config_per_s=6.0,
                     replaced_per_s=4.0, steady_s=1.0, fault_s=3.4, gone_after_s=0.5, of_a_process=20)
