--- a/ospreyline/fleet/subscriber.py
+++ b/ospreyline/fleet/subscriber.py
@@ -135,8 +135,8 @@
         self.preferred = sorted(hashed, key=lambda n: n not in near)
         self.order = _in_turns(self.preferred, len(near))
         self._at = self._looks = 0
-        self._pace = Pace(number, max(1, count), CALLS * max(1, len(self.order)), MUST, draw)
-        self._pace.begin(now)
+        self._pace = Pace(number, max(1, count), CALLS * max(1, len(self.order)), MUST)
+        self._pace.start(now)
 
     # what the balancer wants
 
@@ -363,7 +363,7 @@
         if message.again:
             self._name_all(now, session)
         if not session.spoke and session.name == self._current:
-            self._pace.heard(now)
+            self._pace.told()
         session.spoke = True
         session.own = message.own + now - message.echo if message.own >= 0 and message.echo <= now else inf
         if message.edition == self._edition and message.age >= 0 and message.echo <= now:
--- a/ospreyline/rig/command.py
+++ b/ospreyline/rig/command.py
@@ -15,6 +15,7 @@
 
 from ospreyline.lab.words import ScenarioError
 from ospreyline.rig import scenario as scenarios
+from ospreyline.rig.hollow import scopes
 from ospreyline.rig.scenario import Scenario
 
 FOLDER = click.Path(file_okay=False, path_type=Path)
@@ -322,3 +323,6 @@
     if not 0 < work < 60_000:
         raise ScenarioError(f"--work: {work:g} is no time of a request")
     asyncio.run(alone(at, work, lambda where: click.echo("listening on {}:{}".format(*where))))
+
+
+scale.add_command(scopes)
--- a/ospreyline/rig/scale.py
+++ b/ospreyline/rig/scale.py
@@ -678,7 +678,6 @@
 
 def by_calls(found: Found, count: int, per_s: float) -> None:
     """Calls of so many balancers at the list service when all start at once: pure decisions and pace."""
-    from random import Random
 
     from ospreyline.decide import Balancer
     from ospreyline.fleet.pace import Pace
@@ -700,12 +699,12 @@
     for number in range(count):
         terms = Deployment(zone=0, zones=3, balancers=count, number=number, prefixes=(prefix,),
                            ask_for_list=True, must_ask_in=10_000.0)
-        alone.append(Balancer(_Nobody(), terms, number, 0.0)._ask_at)
+        alone.append(Balancer(_Nobody(), terms, number, 0.0)._asking.due)
     found.add("calls_alone_most_s", count, most(alone))
     paces = []
     for number in range(count):
-        pace = Pace(number, count, per_s, 10_000.0, Random(number).random)
-        pace.begin(0.0)
+        pace = Pace(number, count, per_s, 10_000.0)
+        pace.start(0.0)
         paces.append(pace)
     found.add("calls_paced_most_s", count, most([pace.due for pace in paces]))
     found.add("calls_paced_window_s", count, max(pace.due for pace in paces) / 1e3)
