--- a/ospreyline/capacity/model.py
+++ b/ospreyline/capacity/model.py
@@ -140,7 +140,7 @@
     t.add(FLAT, role, "state: members", "members", counted("fleet/members", s.balancers),
           budget=MOST_MEMBERS, name="members kept")
     t.add(FLAT, role, "messages", "a second",
-          counted("watch of the list", QUIET_LINES + r.listed),
+          counted("watch of the list", QUIET_LINES + min(r.listed, s.lines_per_s)),
           t.part("links at rest", "members_rest_messages_s", s.balancers),
           t.part("members lost", "loss_messages", s.balancers, r.failed),
           t.part("members restarted", "loss_messages", s.balancers, r.restarted / 2),
@@ -156,7 +156,7 @@
           t.part("rankings of the whole list, at rest", "serve_cpu_pct", n),
           t.part("path prefixes, at rest", "routes_cpu_pct", s.routes, above=t.least("routes_cpu_pct")),
           t.part("links and members, at rest", "members_cpu_pct", s.balancers, above=base_cpu),
-          t.part("changes of the list", "change_cpu_ms", n, r.listed / 10),
+          t.part("changes of the list", "change_cpu_ms", n, min(r.listed, s.lines_per_s) / 10),
           t.part("members lost and restarted", "loss_cpu_ms", s.balancers, (r.failed + r.restarted / 2) / 10),
           t.part("reloads, over the list", "reload_cpu_ms", n, r.configured / 10),
           t.part("reloads, over path prefixes", "routes_reload_cpu_ms", s.routes, r.configured / 10),
@@ -195,7 +195,7 @@
 def _passes(t: _Table, s: Size) -> None:
     role, r = "passes lists on", rates(s)
     listeners = s.balancers * SOURCES / s.control_machines
-    words = listeners * (1e3 / BEAT + r.listed)
+    words = listeners * (1e3 / BEAT + min(r.listed, s.lines_per_s))
     t.add(FLAT, role, "state: the list in one frame", "bytes",
           t.part("fleet/lists", "list_bytes", s.upstreams), budget=MOST, name="longest frame that is read")
     t.add(FLAT, role, "messages", "a second", counted("fleet/lists, beats and changes", words))
@@ -218,7 +218,7 @@
     role, r = "list service", rates(s)
     t.add(FLAT, role, "state: the list", "bytes", t.part("not ours", "list_bytes", s.upstreams))
     t.add(FLAT, role, "messages", "a second",
-          counted("lines on watches", s.balancers * (QUIET_LINES + r.listed)))
+          counted("lines on watches", s.balancers * (QUIET_LINES + min(r.listed, s.lines_per_s))))
     t.add(FLAT, role, "bytes", "KB/s",
           counted("changes on watches", _times(t.value("change_bytes", s.upstreams),
                                                s.balancers * r.listed / 1e3)),
@@ -272,34 +272,41 @@
 
 
 def _scoped(t: _Table, s: Size) -> None:
+    """What a balancer ranks is measured on today's text, at as many upstreams as it serves. The bank's own
+    links and members are off: nobody has to know all balancers."""
     r, h = rates(s), held(s)
-    share = h / s.services
-    near = (r.listed + r.configured) * share  # changes that one balancer is told
+    served = h * s.upstreams / s.services
     role = "balancer"
     t.add(SCOPED, role, "state", "bytes", t.part("fleet/scopes", "scoped_state_bytes", h))
-    t.add(SCOPED, role, "messages", "a second", t.part("fleet/subscriber", "scoped_rest_messages_s", h),
-          counted("changes of its services", near))
-    t.add(SCOPED, role, "bytes", "KB/s", t.part("at rest", "scoped_rest_bytes_s", h, 1e-3),
-          t.part("changes of its services", "scoped_change_bytes", h, near / 1e3),
+    t.add(SCOPED, role, "messages", "a second", t.part("fleet/subscriber", "scoped_messages_s", h))
+    t.add(SCOPED, role, "bytes", "KB/s", t.part("fleet/subscriber", "scoped_bytes_s", h, 1e-3),
           budget=s.kb_per_s, name="control bytes")
-    t.add(SCOPED, role, "processor time", "% of a core", t.part("at rest", "scoped_cpu_pct", h),
-          t.part("changes of its services", "scoped_change_cpu_ms", h, near / 10),
+    t.add(SCOPED, role, "processor time", "% of a core",
+          t.part("rankings of what it serves, at rest", "serve_cpu_pct", served),
+          t.part("fleet/subscriber", "scoped_cpu_pct", h),
+          t.part("changes of what it serves", "change_cpu_ms", served, r.listed * h / s.services / 10),
           budget=s.cpu_pct, name="control processor time")
-    t.add(SCOPED, role, "memory", "MB", t.part("the process and its services", "scoped_memory_mb", h),
+    t.add(SCOPED, role, "memory", "MB", t.part("the process, and what it serves", "serve_memory_mb", served),
+          t.part("fleet/scopes", "scoped_state_bytes", h, 1 / MB),
           budget=s.memory_mb, name="control memory")
+    t.add(SCOPED, role, "connections", "links", counted("machines that pass on", 1))
+    t.add(SCOPED, role, "time added to a request, 99 in 100", "ms",
+          t.part("wall time, 171 requests a second", "added_p99_ms", served), budget=s.added_ms,
+          name="added time")
     t.add(SCOPED, role, "a change of configuration in force", "s",
           t.part("source, fan-out, subscriber", "scoped_in_force_s", s.balancers),
           budget=s.in_force_s, name="in force everywhere")
     role, each = "passes scopes on", s.balancers / s.control_machines
-    out = (r.listed + r.configured) * s.balancers_a_service / s.control_machines
-    t.add(SCOPED, role, "messages", "a second", counted("fleet/publisher, changes", out))
-    t.add(SCOPED, role, "bytes", "KB/s", t.part("changes", "scoped_change_bytes", h, out / 1e3),
+    t.add(SCOPED, role, "messages", "a second", t.part("fleet/publisher", "fan_messages_s", each))
+    t.add(SCOPED, role, "bytes", "KB/s", t.part("fleet/publisher", "fan_bytes_s", each, 1e-3),
           budget=1e3 * s.machine_mb_per_s, name="network of a machine, assumed")
-    t.add(SCOPED, role, "processor time", "% of a core", t.part("at rest", "fan_rest_cpu_pct", each),
-          t.part("changes", "fan_change_cpu_us", each, out / 1e4), budget=100, name="one process")
+    t.add(SCOPED, role, "processor time", "% of a core", t.part("fleet/publisher", "fan_cpu_pct", each),
+          budget=100, name="one process")
     t.add(SCOPED, role, "memory", "MB", t.part("all services", "fan_memory_mb", s.upstreams))
     t.add(SCOPED, role, "connections", "links", counted("subscribers", each),
-          budget=MOST_LINKS, name="links kept")
+          budget=MOST_LINKS, name="links kept, as in fleet/links")
+    t.add(SCOPED, "client side", "state", "bytes",
+          counted("which balancers serve which service", 4 * s.services * s.balancers_a_service))
 
 
 # bad hours
@@ -335,7 +342,7 @@
               t.part("members", "loss_bytes", s.balancers, (r.failed + r.restarted / 2) * times / 1e3),
               budget=s.kb_per_s, name="control bytes")
         t.add(FLAT, event, "processor time of each balancer, on top of rest", "% of a core",
-              t.part("list", "change_cpu_ms", n, r.listed * times / 10),
+              t.part("list", "change_cpu_ms", n, min(r.listed * times, s.lines_per_s) / 10),
               t.part("members", "loss_cpu_ms", s.balancers, (r.failed + r.restarted / 2) * times / 10),
               budget=s.cpu_pct, name="control processor time")
     rack = min(s.rack_machines, n)
@@ -356,7 +363,7 @@
           name="calls, assumed")
     t.add(FLAT, ALL, "until the last has called, paced", "s",
           counted("fleet/pace: balancers / (0.8 x calls)", s.balancers / (0.8 * s.calls_per_s)))
-    r_words = s.balancers * SOURCES * (1e3 / BEAT + r.listed)
+    r_words = s.balancers * SOURCES * (1e3 / BEAT + min(r.listed, s.lines_per_s))
     t.add(FLAT, CONTROL, "machines that are needed, by links", "machines",
           counted("fleet/links", s.balancers * SOURCES / MOST_LINKS),
           budget=s.control_machines, name="machines set aside")
@@ -364,7 +371,7 @@
           t.part("fleet/lists", "pass_on_cpu_us", s.balancers * SOURCES / s.control_machines, r_words / 1e6),
           budget=s.control_machines, name="machines set aside")
     t.add(SCOPED, ALL, "what a return costs each balancer, at the allowed bytes", "s",
-          t.part("differences", "fan_return_bytes", held(s), 1 / (1e3 * s.kb_per_s)))
+          t.part("fleet/subscriber", "scoped_return_bytes", held(s), 1 / (1e3 * s.kb_per_s)))
     t.add(SCOPED, ALL, "calls at the source", "a second",
           t.part("fan-out machines", "source_calls_most_s", s.control_machines),
           budget=s.calls_per_s, name="calls, assumed")
@@ -374,6 +381,10 @@
     t.add(SCOPED, CONTROL, "machines that are needed, by links", "machines",
           counted("fleet/links", s.balancers / MOST_LINKS),
           budget=s.control_machines, name="machines set aside")
+    each = s.balancers / s.control_machines
+    t.add(SCOPED, CONTROL, "machines that are needed, by processor time", "machines",
+          t.part("fleet/publisher, spread over fewer", "fan_cpu_pct", each, s.control_machines / 100),
+          budget=s.control_machines, name="machines set aside")
 
 
 ROLES: tuple[Callable[[_Table, Size], None], ...] = (_balancer, _passes, _service, _source, _ends, _scoped)
--- a/ospreyline/decide.py
+++ b/ospreyline/decide.py
@@ -6,6 +6,7 @@
 `host.Host`. docs/design.md has the design and the conditions of each exception, marked E1, E3 ... here.
 
 From top to bottom: figures, records, then the balancer: calls, the rules and the one send, placing, the rest.
+`state` has the types without decisions, `asking` when the list service is called.
 """
 
 from __future__ import annotations
@@ -17,7 +18,9 @@
 from random import Random
 from struct import Struct
 
-from ospreyline.host import NEVER_RAN, Deployment, End, Host, Kind, Listed, PathPrefix, Readiness, Scope
+from ospreyline.asking import Asking
+from ospreyline.host import Deployment, End, Host, Kind, Listed, Readiness, Scope
+from ospreyline.state import Fetch, Lane, Visit
 
 FACTOR = 1.4  # overprovisioning factor of a level's health
 FAILURE_RUN = 5  # failures in a row that mark an upstream failing
@@ -59,24 +62,6 @@
 PROBE_EVERY = 1_000.0  # ms between probes of an upstream, at most
 
 
-class Lane:
-    """A path prefix: its terms, what has been learnt of it, and its visits that wait for room."""
-
-    __slots__ = ("arrived", "gain", "held", "in_time", "kind", "late_gain", "pace", "scope", "target",
-                 "terms", "usual_ttl", "value", "window")
-
-    def __init__(self, terms: PathPrefix) -> None:
-        self.terms = terms
-        self.kind, self.scope, self.window = terms.kind, terms.scope, terms.window
-        self.target, self.late_gain = terms.target_latency, terms.late_gain
-        self.gain = self.value = terms.gain  # value: what one in time adds to the goal, 1 on the mean
-        self.arrived = 0.0  # of late, fading
-        self.in_time = 0.0  # of those, delivered within the target latency
-        self.pace = 1.0  # latency of its fetches over that of their zone, smoothed
-        self.usual_ttl = 0.0  # the longest a client has given a try: a first try's
-        self.held: deque[Visit] = deque()
-
-
 @dataclass(slots=True, eq=False)
 class Level:
     """A zone: its healthy upstreams, and what fetches to it tell of those that are seldom met."""
@@ -180,56 +165,6 @@
         return usual + (self.latency - usual) * exp((self.measured_at - now) / memory)
 
 
-@dataclass(slots=True, eq=False)
-class Fetch:
-    """One backend fetch of a visit."""
-    upstream: Upstream
-    lane: Lane
-    sent: float
-    rest: float  # ms for which its connection had carried nothing; 0 for a new one
-    depth: int
-    level_depth: int
-    trial: bool
-    end: End | None = None
-    silent: bool = False  # no answer came, or it is long overdue
-
-
-class Visit:
-    """The handle of a visit that was taken."""
-
-    __slots__ = ("_balancer", "begin_by", "came", "done", "expires", "fetches", "held", "lane", "out", "tag",
-                 "target_at")
-
-    def __init__(self, owner: Balancer, tag: int, lane: Lane, now: float, ttl: float, repeat: bool) -> None:
-        self._balancer, self.tag, self.lane, self.came = owner, tag, lane, now
-        self.expires = now + ttl
-        # a marked repeat with less time than others is a later try: its target latency began before
-        elapsed = lane.terms.client_timeout - ttl if repeat and ttl < 0.98 * lane.usual_ttl else 0.0
-        self.target_at = now + min(ttl, lane.target - elapsed)
-        self.fetches: list[Fetch] = []
-        self.begin_by = inf  # upstreams have forgotten its key by then: nothing of it may begin there later
-        self.out = 0
-        self.held = self.done = False
-
-    @property
-    def settled(self) -> bool:
-        """Whether it has its final answer and no fetch of it is out: nothing more will be said of it."""
-        return self.done and not self.out
-
-    def may_have_run(self) -> Fetch | None:
-        """The first fetch that may have run or is still out."""
-        return next((f for f in self.fetches if f.end not in NEVER_RAN), None)
-
-    def ended(self, now: float, number: int, end: End, spent: float, final: bool,
-              report: tuple[float, ...]) -> None:
-        """One of its fetches has ended; final: the client has its answer."""
-        self._balancer._ended(self, self.fetches[number], now, end, spent, final, report)
-
-    def left(self, now: float) -> None:
-        """The client has gone: nothing is owed any more."""
-        self._balancer._close(self, now)
-
-
 class Balancer:
     """The decisions of one instance, from its own traffic alone."""
 
@@ -240,7 +175,7 @@
         self._told_rest = self._told_until = inf  # what others have told of that, and how long it holds
         self._rests: deque[Fetch] = deque(maxlen=99)  # the latest: long and short rests are compared
         self._places = self._probes_due = 0.0  # places: upstreams that we would use, were all healthy
-        self._ask_wait = 500.0
+        self._asking = Asking(self._random())  # when to ask for the list
         self._upstreams: dict[int, Upstream] = {}
         self._ring: list[Upstream] = []  # in an order that is the same at every balancer
         self._ready: list[Upstream] = []
@@ -282,12 +217,9 @@
         self._granted = 1 - SPARE * (1 - share)
         fields = terms.report_fields
         self._load_field = next((fields.index(f) for f in ("in-flight", "queue", "util") if f in fields), -1)
-        self._must_ask_in = terms.must_ask_in if terms.ask_for_list else inf
+        self._asking.fit(terms.balancers, terms.must_ask_in)
         if not again or old.ask_for_list != terms.ask_for_list:
-            self._watching = not terms.ask_for_list
-            # guards: hundreds that start at once ask a list service that serves some calls a second
-            spread = min(0.3 * terms.must_ask_in, 500.0 + 10 * terms.balancers)
-            self._ask_at = now + self._random() * spread if terms.ask_for_list else inf
+            self._asking.begin(now, terms.ask_for_list)
         self._place_in_ring = terms.number * GOLDEN % 1  # spread evenly, whichever numbers a zone has
         self._used_share = SHARED_BY * zones / terms.balancers
         self._order = [(terms.zone + i) % zones for i in range(zones)]  # own first
@@ -316,17 +248,17 @@
         u.zone, u.level = zone, self._levels[zone]
         u.level.out += len(u.out)
 
-    def told_all(self, now: float, lines: list[Listed]) -> None:
-        """The whole list: who is missing from it is gone."""
+    def told_all(self, now: float, lines: list[Listed], own: bool = True) -> None:
+        """The whole list: who is missing from it is gone. `own`: a watch of ours that stands has spoken."""
         named = {line.upstream for line in lines}
         for u in self._upstreams.values():
             u.ready = u.ready and u.id in named
-        self.told_changes(now, lines, first=not self._upstreams)
+        self.told_changes(now, lines, first=not self._upstreams, own=own)
 
-    def told_changes(self, now: float, lines: list[Listed], first: bool = False) -> None:
-        """Changes of the list; an answer to our call, if we had asked."""
-        if not first:
-            self._watching, self._ask_wait = True, 500.0
+    def told_changes(self, now: float, lines: list[Listed], first: bool = False, own: bool = True) -> None:
+        """Changes of the list; an answer to our call, if we had asked, unless they are not `own`."""
+        if own:
+            self._asking.told()
         for line in lines:
             u = self._upstreams.get(line.upstream)
             if u is None:
@@ -350,9 +282,11 @@
 
     def told_nothing(self, now: float) -> None:
         """A call for the list failed or the subscription broke: the old list stands, we ask again."""
-        self._watching = False
-        self._ask_at = now + self._ask_wait * (0.5 + self._random())
-        self._ask_wait = min(2 * self._ask_wait, 0.25 * self._must_ask_in, 8_000.0)
+        self._asking.failed(now)
+
+    def asked(self, now: float) -> None:
+        """The front has called by itself, elsewhere: what went before is over."""
+        self._asking.called(now, anew=True)
 
     def forget(self, upstream: int) -> None:
         """One that has long gone will not be named again."""
@@ -768,9 +702,8 @@
                 level.latency += BEAT / FORGET * (usual - level.latency)
                 level.kept += BEAT / FORGET * (1 - level.kept)
         self._rank(now)
-        if not self._watching and now >= self._ask_at:
-            # failed calls are told; one that is never answered is asked again, well before we are deemed told
-            self._ask_at = now + min(4_000.0, 0.4 * self._must_ask_in)
+        if now >= self._asking.due:
+            self._asking.called(now)
             self._host.watch(True)
         if self._terms.may_probe:
             self._probe(now)
--- a/ospreyline/rig/command.py
+++ b/ospreyline/rig/command.py
@@ -15,6 +15,7 @@
 
 from ospreyline.lab.words import ScenarioError
 from ospreyline.rig import scenario as scenarios
+from ospreyline.rig.hollow import scopes
 from ospreyline.rig.scenario import Scenario
 
 FOLDER = click.Path(file_okay=False, path_type=Path)
@@ -102,6 +103,33 @@
     sys.exit(1 if any(figures["breaches"].values()) else 0)
 
 
+@rig.command()
+@click.option("--count", default=3, show_default=True, help="Processes that start at once.")
+@click.option("--list", "state", default="up", show_default=True, help="State of the list service.",
+              type=click.Choice(("up", "slow", "hang", "down", "back", "each")))
+@click.option("--known/--no-known", default=True, show_default=True, help="Start with a list, or without.")
+@click.option("--pushed", is_flag=True, help="The settings say that the list is pushed.")
+@click.option("--must-ask-s", default=10.0, show_default=True)
+@click.option("--within", default=10.0, show_default=True, help="s in which nine in ten have to be ready.")
+@click.option("--seconds", default=30.0, show_default=True, help="The most that is waited.")
+@click.option("--seed", default=1, show_default=True)
+@_told
+def ready(count: int, state: str, known: bool, pushed: bool, must_ask_s: float, within: float,
+          seconds: float, seed: int) -> None:
+    """Time from exec to ready of processes that start at once; status 1 if over one in ten are late."""
+    from ospreyline.rig import ready as starts
+
+    late = False
+    click.echo(f"{count} at once, {'with' if known else 'without'} a list, "
+               f"{'pushed' if pushed else 'asked for'}; {starts.HEADER}")
+    for one in starts.STATES if state == "each" else (state,):
+        out = Path(tempfile.mkdtemp(prefix="ospreyline-ready-"))
+        found = starts.measure(count, one, out, known, pushed, must_ask_s, seconds, seed)
+        click.echo(starts.line(one, found))
+        late = late or starts.share([start.ready for start in found], 0.9) > within
+    sys.exit(late)
+
+
 @rig.command()
 @click.argument("folder", type=FOLDER)
 @_told
@@ -210,6 +238,7 @@
     from rich.progress import BarColumn, Progress, TextColumn, TimeElapsedColumn
 
     from ospreyline.rig import scale as scaling
+    from ospreyline.rig import slopefile
 
     before = tomllib.loads(data.read_text("utf-8")) if data is not None and data.exists() else {}
     sizes = {"upstreams": upstreams, "routes": routes, "members": members, "balancers": balancers,
@@ -231,14 +260,15 @@
             click.echo(f"ospreyline: {error}", err=True)
             sys.exit(3)
     command = "ospreyline rig scale slopes" + "".join(f" --part {part}" for part in parts)
-    found = scaling.merged(before, measured, date.today().isoformat(), command, scaling.machine())
-    text = scaling.toml(found)
+    found = slopefile.merged(before, measured.points, measured.reference, date.today().isoformat(), command,
+                             slopefile.machine())
+    text = slopefile.toml(found)
     if data is None:
         click.echo(text, nl=False)
     else:
         data.write_text(text, "utf-8")
     if drawn is not None:
-        scaling.plot(found, drawn)
+        slopefile.plot(found, drawn)
 
 
 @scale.command()
@@ -249,9 +279,33 @@
     """Draw the slopes of a data file."""
     import tomllib
 
-    from ospreyline.rig import scale as scaling
+    from ospreyline.rig import slopefile
+
+    slopefile.plot(tomllib.loads(data.read_text("utf-8")), picture)
+
 
-    scaling.plot(tomllib.loads(data.read_text("utf-8")), picture)
+@scale.command(name="scoped")
+@click.argument("data", type=click.Path(dir_okay=False, exists=True, path_type=Path))
+@click.argument("runs", nargs=-1, required=True,
+                type=click.Path(dir_okay=False, exists=True, path_type=Path))
+@click.option("--command", "made_by", required=True, help="What made the runs, for the file.")
+@click.option("--machine", "made_on", help="Class of machine of the runs; else this one.")
+@_told
+def scoped(data: Path, runs: tuple[Path, ...], made_by: str, made_on: str | None) -> None:
+    """Write the slopes of scoped subscriptions into DATA, from the figures (JSON) of hollow RUNS."""
+    import json
+    import tomllib
+    from datetime import date
+
+    from ospreyline.rig import slopefile
+
+    try:
+        points = slopefile.scoped([json.loads(run.read_text("utf-8")) for run in runs])
+    except (KeyError, TypeError, ValueError) as error:
+        raise ScenarioError(f"no figures of a hollow run: {error!r}") from error
+    found = slopefile.merged(tomllib.loads(data.read_text("utf-8")), points, [], date.today().isoformat(),
+                             made_by, made_on or slopefile.machine())
+    data.write_text(slopefile.toml(found), "utf-8")
 
 
 @rig.command()
@@ -269,3 +323,6 @@
     if not 0 < work < 60_000:
         raise ScenarioError(f"--work: {work:g} is no time of a request")
     asyncio.run(alone(at, work, lambda where: click.echo("listening on {}:{}".format(*where))))
+
+
+scale.add_command(scopes)
--- a/ospreyline/rig/hollow.py
+++ b/ospreyline/rig/hollow.py
@@ -45,7 +45,7 @@
     fault_s: float = 12.0
     restart_s: float = 60.0
     cut_s: float = 20.0
-    end_s: float = 6.0
+    gone_after_s: float = 3.0  # from a drain to the end, and the one that comes in its place
     of_a_process: int = OF_A_PROCESS
 
 
@@ -125,6 +125,7 @@
     async def play(self) -> dict[str, Any]:
         try:
             await self._load()
+            self.source.order({"changes": True})
             for step in self.steps:
                 await getattr(self, f"_{step}")()
             return await self._gather()
@@ -135,8 +136,9 @@
 
     async def _begin(self, process: Process, what: dict[str, Any]) -> None:
         plan = asdict(self.plan)
-        await process.start({**{k: plan[k] for k in ("services", "upstreams", "subscribers", "per", "seed",
-                                                    "config_per_s", "replaced_per_s")}, **what})
+        keys = ("services", "upstreams", "subscribers", "per", "seed", "config_per_s", "replaced_per_s",
+                "gone_after_s")
+        await process.start({**{key: plan[key] for key in keys}, **what})
 
     async def _load(self) -> None:
         begun = monotonic()
@@ -178,24 +180,29 @@
                 raise HollowError(f"{what}: {found} of {most} had all after {LOAD_S:.0f} s")
             await asyncio.sleep(0.2)
 
-    async def _phase(self, name: str, seconds: float) -> None:
+    async def _phase(self, name: str, seconds: float, then: Callable[[], None] | None = None) -> None:
+        """So many seconds under this name; `then` is done once all know of it."""
         for process in self.all:
             process.order({"phase": name})
         begun = monotonic()
+        if then is not None:
+            await asyncio.sleep(min(1.1, seconds / 4))  # each has said once how it stood before
+            then()
         while (left := begun + seconds - monotonic()) > 0:
             self.say(f"{name}: {left:.0f} s left")
             await asyncio.sleep(min(0.25, left))
         self.spans.append((name, 1e3 * begun, 1e3 * monotonic()))
 
     async def _steady(self) -> None:
-        self.source.order({"changes": True})
         await self._phase("steady", self.plan.steady_s)
 
     async def _without(self, name: str, lost: list[Process], number: int) -> None:
         """Some are stopped or killed as the phase begins; what was stopped goes on after it, and is heard."""
-        for process in lost:
-            process.signal(number)
-        await self._phase(name, self.plan.fault_s)
+        def lose() -> None:
+            for process in lost:
+                process.signal(number)
+
+        await self._phase(name, self.plan.fault_s, lose)
         for process in lost:
             process.signal(signal.SIGCONT)
         await self._phase(f"after {name}", self.plan.fault_s / 2)
@@ -212,24 +219,40 @@
         await self._without(f"{count} killed", self.fans[-count:], signal.SIGKILL)
 
     async def _restart(self) -> None:
-        for process in self.subs:
-            process.order({"restart_s": self.plan.restart_s})
-        await self._phase("all restarted", self.plan.restart_s + 8.0)
+        def restart() -> None:
+            for process in self.subs:
+                process.order({"restart_s": self.plan.restart_s})
+
+        await self._phase("all restarted", self.plan.restart_s + 8.0, restart)
 
     async def _region(self) -> None:
         """One region is cut off from all others and the source, then healed."""
         cut = self.regions[2 % len(self.regions)]
         inside = self.fans[2 % len(self.regions)::len(self.regions)]
-        for process in [*inside, *self.subs]:
-            process.order({"cut": cut})
-        await self._phase("region cut", self.plan.cut_s)
-        for process in [*inside, *self.subs]:
-            process.order({"cut": ""})
-        await self._phase("region healed", 12.0)
+        def become(cut: str) -> None:
+            for process in [*inside, *self.subs]:
+                process.order({"cut": cut})
+
+        await self._phase("region cut", self.plan.cut_s, lambda: become(cut))
+        await self._phase("region healed", 12.0, lambda: become(""))
+
+    def _at_rest(self) -> bool:
+        """Nothing is to come, and nobody who lives is behind."""
+        rows = [p.rows[-1] for p in [self.source, *self.fans] if not p.gone]
+        since = self.spans[-1][1] + 1e3
+        return not self.source.rows[-1]["planned"] and all(
+            row["t"] > since and row["phase"] == "end" and not row["backlog"] for row in rows)
 
     async def _gather(self) -> dict[str, Any]:
         self.source.order({"quiet": True})
-        await self._phase("end", self.plan.end_s)
+        await self._phase("end", 1.0)
+        begun = monotonic()
+        while not self._at_rest():
+            if monotonic() - begun > END_S:
+                raise HollowError(f"changes were still on their way after {END_S:.0f} s")
+            self.say("the last changes")
+            await asyncio.sleep(0.1)
+        self.spans[-1] = ("end", self.spans[-1][1], 1e3 * monotonic())
         for process in self.all:
             process.order({"end": True})
         self.say("gathering")
@@ -300,11 +323,37 @@
             "subscriber": used(run.subs, name)}
     plan = asdict(run.plan)
     subscribers = max(1, run.plan.subscribers)
-    return {"plan": plan, "loaded_s": {k: round(v, 1) for k, v in run.loaded.items()},
+    return {"slopes": slopes(run.plan, phases, held / subscribers),
+            "plan": plan, "loaded_s": {k: round(v, 1) for k, v in run.loaded.items()},
             "records_a_subscriber": round(records / subscribers, 1),
             "held_bytes_a_subscriber": round(held / subscribers), "phases": phases}
 
 
+def slopes(plan: Plan, phases: dict[str, Any], held: float) -> dict[str, list[float]]:
+    """Points for the table of capacity, as (size, figure): each by its own unit of size."""
+    services = plan.services * plan.per / plan.subscribers
+    found = {"scoped_state_bytes": [services, held]}
+    if (steady := phases.get("steady")) is not None:
+        one, fan, each = steady["subscriber"], steady["fanout"], plan.subscribers / plan.fanouts
+        found |= {
+            "scoped_cpu_pct": [services, one["cpu_percent"]],
+            "scoped_bytes_s": [services, one["bytes_a_second"]],
+            "scoped_messages_s": [services, one["words_a_second"]],
+            "scoped_in_force_s": [plan.subscribers, steady["in_force_ms"]["p99"] / 1e3],
+            "fan_cpu_pct": [each, fan["cpu_percent"]], "fan_bytes_s": [each, fan["bytes_a_second"]],
+            "fan_messages_s": [each, fan["words_a_second"]],
+            "fan_memory_mb": [plan.upstreams, fan["most_mb"]]}
+    if (restarted := phases.get("all restarted")) is not None:
+        found["scoped_return_bytes"] = [
+            services, restarted["subscriber"]["bytes_a_second"] * restarted["seconds"]]
+    deaf = [p["deaf_ms"]["most"] for name, p in phases.items() if name.endswith(("killed", "stopped"))]
+    if deaf:
+        found["scoped_deaf_s"] = [plan.subscribers, max(deaf) / 1e3]
+    found["source_calls_most_s"] = [
+        plan.fanouts, max((p["source"]["most_calls_a_second"] for p in phases.values()), default=0.0)]
+    return found
+
+
 def used(processes: list[Process], phase: str) -> dict[str, float]:
     """What one of a role used in a phase: means over all, and the most of one second of one process."""
     cpu = seconds = went = calls = words = moves = 0.0
@@ -331,7 +380,7 @@
         cpu += rows[-1]["cpu"] - rows[0]["cpu"]
         went += rows[-1]["in"] + rows[-1]["out"] - rows[0]["in"] - rows[0]["out"]
         calls += rows[-1]["calls"] - rows[0]["calls"]
-        words += rows[-1]["words"] - rows[0]["words"]
+        words += rows[-1]["words"] - rows[0]["words"] + rows[-1]["said"] - rows[0]["said"]
         moves += rows[-1].get("moves", 0) - rows[0].get("moves", 0)
     seconds = max(seconds, 1e-3)
     return {"cpu_percent": round(100 * cpu / seconds, 4), "bytes_a_second": round(went / seconds, 1),
@@ -345,8 +394,8 @@
     plan = found["plan"]
     lines = [f"{plan['subscribers']} balancers, {plan['fanouts']} fan-out machines, "
              f"{plan['services']} services, {plan['upstreams']} upstreams; "
-             f"{found['records_a_subscriber']:.0f} records a balancer; "
-             f"all had all after {found['loaded_s']['all_s']:.0f} s"]
+             f"{found['records_a_subscriber']:.0f} records a balancer; all had all after "
+             f"{found['loaded_s']['all_s']:.0f} s"]
     for name, phase in found["phases"].items():
         force, deaf = phase["in_force_ms"], phase["deaf_ms"]
         lines.append(
