--- a/ospreyline/rig/worker.py
+++ b/ospreyline/rig/worker.py
@@ -21,7 +21,8 @@
 
 from ospreyline.lab.world import Due, World
 
-FLUSH = 0.2  # s between two writes of rows, and between two looks at how late the loop is
+FLUSH = 0.2  # s between two writes of rows
+LOOK = 0.02  # s between two looks at how late the loop is: of a stop as much as this may go unseen
 _JSON = msgspec.json.Encoder()
 
 
@@ -72,7 +73,7 @@
         self.seed = int(setup["seed"])
         self.lag = 0.0  # ms, the most that the loop came late
         self._rows: BinaryIO = open(setup["rows"], "ab", buffering=1 << 16)  # noqa: SIM115 - ends with us
-        self._looked = loop.time()
+        self._looked = self._flushed = loop.time()
 
     def row(self, kind: str, /, **values: Any) -> None:
         self._rows.write(_JSON.encode({"k": kind, "t": round(self.clock.now, 3), **values}) + b"\n")
@@ -84,14 +85,16 @@
 
     def look(self) -> None:
         now = self.loop.time()
-        late = 1e3 * (now - self._looked - FLUSH)
+        late = 1e3 * (now - self._looked - LOOK)
         if late > 50:
             self.clock.tick()
             self.row("lag", ms=round(late, 1))
         self.lag = max(self.lag, late)
         self._looked = now
-        self._rows.flush()
-        self.loop.call_later(FLUSH, self.look)
+        if now - self._flushed >= FLUSH:
+            self._flushed = now
+            self._rows.flush()
+        self.loop.call_later(LOOK, self.look)
 
     def close(self) -> None:
         self._rows.close()
--- a/tests/test_late_rig.py
+++ b/tests/test_late_rig.py
@@ -2,9 +2,14 @@
 
 from __future__ import annotations
 
+import asyncio
+import time
+
 import pytest
 from test_known_red import both, run
 
+from ospreyline.rig.worker import Worker
+
 SUITE = """
 import json
 from pathlib import Path
@@ -46,3 +51,23 @@
     assert (tmp_path / "tests" / "played").read_text() == "7\n" * min(3, len(days))
     assert all(one in text for one in said), text
     assert said or "came 312 ms late" not in text
+
+
+@pytest.mark.parametrize("after", [0, 1, 5])
+def test_a_stop_of_the_rig_is_seen_whenever_it_begins(after, tmp_path):
+    # looked at every 200 ms, one of 130 ms was not seen at all if it began right behind a look
+    async def story() -> float:
+        worker = Worker(asyncio.get_running_loop(), {"origin": 0.0, "seed": 1, "rows": tmp_path / "rows"})
+        worker.look()
+        for _ in range(after):
+            looked = worker._looked
+            while worker._looked == looked:
+                await asyncio.sleep(0.001)
+        time.sleep(0.13)  # the loop itself stands still
+        looked = worker._looked
+        while worker._looked == looked:
+            await asyncio.sleep(0.001)
+        worker.close()
+        return worker.lag
+
+    assert asyncio.run(story()) >= 100.0
