--- a/ospreyline/net/clients.py
+++ b/ospreyline/net/clients.py
@@ -10,6 +10,7 @@
 import re
 import select
 import socket
+import struct
 from collections import Counter, deque
 from dataclasses import dataclass
 from http import HTTPStatus
@@ -18,6 +19,7 @@
 
 import httptools
 
+from ospreyline.net.sockets import drain, shut, unacknowledged
 from ospreyline.net.upstreams import HOP_BY_HOP, MOST_BODY, MOST_HEAD, MOST_RAW, unread
 
 IDLE = 75.0  # s that a connection may stand between requests
@@ -34,6 +36,7 @@
 OWN = -1  # in place of a path prefix: answered by the balancer itself
 ONCE_FIELDS = frozenset((b"x-trace-id", b"x-qos", b"idempotency-key", b"x-expires-in", b"content-length",
                          b"transfer-encoding", b"host"))
+LAST_RECEIVED = struct.Struct("52xI")  # tcpi_last_data_recv of the system's `struct tcp_info`
 ID = re.compile(rb"[!-~]{1,128}")  # of a request
 
 
@@ -109,6 +112,7 @@
         self._body: list[bytes] = []
         self._raw = self._size = 0
         self._head_done = False
+        self.spared = False  # it was overdue once, with bytes in its socket
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
@@ -141,8 +145,9 @@
             self._parser.feed_data(data)
             if not self._head_done and self._raw > MOST_HEAD:
                 raise BadRequest(431)
-            if self._reading and self._raw > MOST_RAW:
-                raise BadRequest(413)  # guards: trailers and chunk headers are no body, and have no end
+            if self._raw > MOST_RAW:
+                # guards: trailers and chunk headers are no body and have no end, nor have empty lines between
+                raise BadRequest(413)
         except httptools.HttpParserUpgrade:
             self._keep = False  # no other protocol is spoken here
             if self._reading:
@@ -315,10 +320,32 @@
         Guards: closed with bytes unread, the connection is reset, and the reset can destroy the answer.
         """
         self._over = True
+        self.since = self.clients.loop.time()  # guards: one that had rested for long would be cut as slow
         transport = self.transport
         if transport is not None and not transport.is_closing():
-            transport.write_eof()
-            self.clients.loop.call_later(LINGER, transport.close)
+            if transport.get_write_buffer_size():
+                transport.write_eof()
+            else:
+                shut(transport)
+            self.clients.loop.call_later(LINGER, self._lingered)
+
+    def _lingered(self) -> None:
+        """Close, once its client's machine has all of the answer; who reads too slowly is cut as such."""
+        # guards: what comes after a close is answered by a reset, which takes along what the machine holds
+        if self.holding():
+            self.clients.loop.call_later(SETTLED, self._lingered)
+        else:
+            self.drop()
+
+    def holding(self) -> bool:
+        """Whether a part of what was written is not with its client's machine."""
+        transport = self.transport
+        return transport is not None and not transport.is_closing() and bool(
+            transport.get_write_buffer_size() or unacknowledged(transport))
+
+    def unread(self) -> bool:
+        """Whether a request, or a part of one, may lie in its socket."""
+        return not self._over and self.transport is not None and unread(self.transport, select.POLLIN)
 
     def gone(self) -> bool:
         """Whether its client has gone, even if that still lies unread in the socket."""
@@ -326,6 +353,17 @@
         # stopped, a request would go on whose client left long ago
         return self.transport is None or unread(self.transport, select.POLLRDHUP)
 
+    def waited(self) -> float:
+        """How long ago, in ms, its last bytes came to this machine, as far as the system tells; else 0."""
+        if self.transport is None or self.transport.is_closing():
+            return 0.0
+        try:
+            told = self.transport.get_extra_info("socket").getsockopt(
+                socket.IPPROTO_TCP, socket.TCP_INFO, LAST_RECEIVED.size)
+            return float(LAST_RECEIVED.unpack(told)[0])
+        except (OSError, struct.error):
+            return 0.0  # guards: a system that does not tell it, or tells less
+
     def eof_received(self) -> bool:
         self._gone()
         return False  # closes the connection
@@ -351,7 +389,8 @@
         return now - self.since > (SLOW if self._reading or self._over else IDLE if self.asked else SILENT)
 
     def drop(self) -> None:
-        if self.transport is not None:
+        if self.transport is not None and not self.transport.is_closing():
+            drain(self.transport)
             self.transport.abort()
 
 
@@ -428,8 +467,7 @@
         silent = len(self._coming) + sum(rank == 1 for rank, _ in spare)
         found.sort(key=lambda entry: entry[:2])
         # guards: after a late pass the listener may be read before a request that has come to one of them
-        client = next((c for rank, _, c in found if rank == -2 or (
-            c.transport is not None and not unread(c.transport, select.POLLIN))), None)
+        client = next((c for _, _, c in found if not c.unread() and not c.holding()), None)
         if client is None or (client.spare() == 0 and silent > self.most_open // 4):
             return False  # guards: a flood of silent ones must not cost the usual clients theirs
         self.door.counts["made_room"] += 1
@@ -452,8 +490,16 @@
         """Cut off clients that are silent for too long."""
         now = self.loop.time()
         for client in [c for c in self.open if c.overdue(now)]:
+            if not client.spared and client.unread():
+                # guards: what came since sockets were last read lies there. After a long pass all that had
+                # waited would be cut, with whole requests in their sockets
+                client.spared = True
+                continue
             self.door.counts["cut_slow"] += 1
-            client.drop()
+            if client.asked and client.idle():
+                client.finish()  # guards: some rest until we end them, and ask something in that moment
+            else:
+                client.drop()
         while len(self.open) > self.most_open // 2 and self._make_room(SETTLED):
             pass
 
@@ -472,8 +518,8 @@
         return drained
 
     def sending(self) -> bool:
-        """Whether an answer has not left our buffers."""
-        return any(c.transport is not None and c.transport.get_write_buffer_size() for c in self.open)
+        """Whether an answer is not yet with its client's machine."""
+        return any(client.asked and client.holding() for client in self.open)
 
     def _shut(self) -> None:
         sock, self._socket = self._socket, None
--- a/ospreyline/net/covering.py
+++ b/ospreyline/net/covering.py
@@ -93,13 +93,13 @@
             self.takeover.held(now, taken.tag)
 
     def may_write(self, now: float, taken: Taken, number: int, upstream: int, times: int,
-                  time_out: float) -> bool:
+                  until: float) -> bool:
         """Whether a fetch may be written now; else it is when its permit comes."""
         zone, cell = self._turn.place(upstream)
         if self.takeover.send(now, taken.tag, number, zone, cell, now <= self._turn.stood_to):
             self._speak()
             return True
-        self._waiting[taken.tag] = (self._turn.write, (taken, number, upstream, times, now + time_out))
+        self._waiting[taken.tag] = (self._turn.write, (taken, number, upstream, times, until))
         self._speak()
         return False
 
@@ -136,10 +136,15 @@
 
     def goes_on(self, now: float, taken: Taken, kind: Kind) -> bool:
         """Its client has gone: whether it goes on without, since what was sent may be asked for again."""
-        out = [e for e in taken.errands if e is not None and e.done is not None]
+        fetches = taken.handle.fetches if taken.handle is not None else []
+        # guards: an end that was noted behind the leaving is not decided yet, and may be the answer
+        out = [e for e, f in zip(taken.errands, fetches, strict=False) if e is not None and f.end is None]
         if kind is not Kind.READ_LIKE and any(e.stage > Stage.CONNECTING for e in out):
             return taken.tag in self.takeover.hands
-        self.takeover.gave_up(now, taken.tag, sent=any(e is not None for e in taken.errands))
+        # guards: who asked again for a mutating one waited for an answer until its time was over. One that
+        # may have run is over, or goes on: of what is left no fetch ran, nor will one
+        sent = kind is not Kind.MUTATING and any(e is not None for e in taken.errands)
+        self.takeover.gave_up(now, taken.tag, sent)
         self._speak()
         return False
 
@@ -155,6 +160,14 @@
         if self._turn.bank is not None:
             self._turn.bank.carry_out()
 
+    def overdue(self, tag: int) -> bool:
+        """Its client's time is over: whether what it is to be told still waits here, for a word in vain."""
+        act, _ = self._waiting.get(tag, (None, ()))
+        if act != self._turn.reply:
+            return False
+        del self._waiting[tag]
+        return True
+
     def holds(self, tag: int) -> bool:
         """Whether a visit's client waits here for a word before it is told something."""
         return tag in self._waiting
--- /dev/null
+++ b/tests/test_waits.py
@@ -0,0 +1,129 @@
+"""What waits for another balancer's word, and whose client's time is over first."""
+
+from __future__ import annotations
+
+import asyncio
+from types import SimpleNamespace
+
+import pytest
+from stand_ins import Peer, caller, request, running
+from test_clients import play
+from test_takeover import CHANGE, PAY, Net, sent
+
+from ospreyline import operator
+from ospreyline.fleet.frames import Say
+from ospreyline.host import End
+from ospreyline.net.covering import Covering
+from ospreyline.net.upstreams import Stage
+
+
+@pytest.mark.parametrize("left", [330.0, 349.0, 351.0, 1_505.0, 1_530.0, 1_549.0])
+@pytest.mark.parametrize(("kind", "said"), [(PAY, "bounce"), (CHANGE, "unknown")])
+def test_who_waits_for_an_answer_that_never_comes_is_told_before_its_time_is_over(kind, said, left):
+    # what is due is looked at every 50 ms, so 20 ms before its end was up to 30 ms after it
+    net = Net()
+    net.take("m0", kind, left=9_000.0)
+    assert sent(net, "m0", kind)
+    begun = net.now
+    assert net.ask("m4", kind, left=left) == []
+    told: list[str] = []
+    while not told and net.now < begun + left:
+        net.run(50.0)
+        told = [what for what, _ in net.news("m4")]
+    assert told == [said] and begun + left - 150.0 <= net.now <= begun + left - 50.0, net.now - begun
+
+
+@pytest.mark.parametrize("left", [60.0, 99.0, 149.0, 201.0, 240.0])
+@pytest.mark.parametrize("what", ["permit", "refuse", "told", "claim"])
+def test_no_word_is_waited_for_beyond_the_time_of_its_client(what, left):
+    net = Net()
+    kind = CHANGE
+    if what == "claim":
+        net.lost = lambda a, b, m: isinstance(m, Say)
+        net.at["m4"].ask(net.now, 1, "v", kind, b"mchange", left)
+        owner = "m4"
+    else:
+        owner = "m0"
+        net.take(owner, kind, left=left)
+        if what == "told":
+            assert sent(net, owner, kind)
+        else:
+            net.at[owner].held(net.now, 1)
+            net.run()
+        net.lost = lambda a, b, m: isinstance(m, Say)  # from now on nobody hears a word
+        if what == "permit":
+            assert not net.at[owner].send(net.now, 1, 0, "a", 0)
+        elif what == "refuse":
+            assert not net.at[owner].refuse(net.now, 1)
+        else:
+            assert not net.at[owner].answered(net.now, 1, b"late", doubt=True)
+    begun = net.now
+    net.run()
+    told = net.news(owner)
+    while not told and net.now < begun + 1_000.0:
+        net.run(50.0)
+        told = net.news(owner)
+    assert told and net.now - begun <= max(50.0, left - 50.0), (told, net.now - begun)
+
+
+@pytest.mark.parametrize(("peers", "what", "path"), [
+    (1, "answered", "/read/a"), (1, "answered", "/change/a"), (0, "refuse", "/change/a")])
+def test_a_word_that_never_comes_leaves_no_client_without_an_answer(peers, what, path):
+    # what waited for a word counted as answered, so the backstop passed it over
+    async def story() -> None:
+        async with running(*[Peer() for _ in range(peers)]) as service:
+            turn = service.turn
+            turn.covering = covering = Covering(turn, operator.Takeover(on=True), "n0", "a", 1, 7, 3)
+            setattr(covering.takeover, what, lambda *more, **named: False)
+            client = await caller(service)
+            begun = asyncio.get_running_loop().time()
+            status, _, _ = await client.ask(request(path, "POST", X_Expires_In="0.3"))
+            assert status == 502 and asyncio.get_running_loop().time() - begun >= 0.3
+            assert turn.counts["overdue"] == 1 and not turn.visits and not covering._waiting
+
+    play(story)
+
+
+Out = tuple[Stage, bool, End | None]  # how far it came, whether it ended, as what it was decided
+
+
+def leaves(net: Net, *fetches: Out | None) -> bool:
+    """The client of m0's visit has gone, with these fetches of it: whether it goes on without."""
+    covering = Covering(SimpleNamespace(bank=None), operator.Takeover(on=True), "m0", "a", 1, 7, 3)
+    covering.takeover = net.at["m0"]
+    errands = [f and SimpleNamespace(stage=f[0], done=None if f[1] else print) for f in fetches]
+    handle = SimpleNamespace(fetches=[SimpleNamespace(end=f and f[2]) for f in fetches])
+    went_on = covering.goes_on(net.now, SimpleNamespace(tag=1, errands=errands, handle=handle), CHANGE)
+    net.run()
+    return went_on
+
+
+UNREACHED = (Stage.CONNECTING, True, End.UNREACHED)
+
+
+@pytest.mark.parametrize("further", [[], [(Stage.CONNECTING, False, None)], [None]],
+                         ids=["nothing", "connecting", "waits for its permit"])
+def test_a_mutating_visit_whose_client_left_before_it_ran_is_run_for_who_asks_again(further):
+    # a permit for it stood, so the next balancer waited for an answer until its client's time was over
+    net = Net()
+    net.take("m0", CHANGE)
+    assert sent(net, "m0", CHANGE)
+    if further:
+        net.at["m0"].send(net.now, 1, 1, "a", 0)
+        if further[0]:
+            net.run()
+    assert not leaves(net, UNREACHED, *further)
+    assert net.ask("m4", CHANGE) == [("take", [])]
+
+
+@pytest.mark.parametrize("ended", [False, True])
+def test_a_mutating_visit_whose_fetch_is_written_goes_on_without_its_client(ended):
+    # an end that is noted in the turn of the leaving, behind it, was taken for one that is decided, and its
+    # answer was kept for nobody
+    net = Net()
+    net.take("m0", CHANGE)
+    assert sent(net, "m0", CHANGE)
+    assert leaves(net, (Stage.ANSWERING, ended, None))
+    net.at["m0"].answered(net.now, 1, b"the answer")
+    net.run()
+    assert net.ask("m4", CHANGE) == [("answer", b"the answer")]
