--- a/ospreyline/capacity/model.py
+++ b/ospreyline/capacity/model.py
@@ -17,13 +17,13 @@
 from ospreyline.fleet.links import MOST_LINKS
 from ospreyline.fleet.lists import BEAT, SOURCES
 from ospreyline.fleet.members import MOST_MEMBERS
+from ospreyline.fleet.publisher import MOST_SUBSCRIBERS
 from ospreyline.net.discovery import MOST_LINE
 
 DAY = 86_400.0
 QUIET_LINES = 0.5  # empty lines a second on a watch
 SOCKETS = 1_024  # descriptors of a balancer, by default
 MB = 1e6
-SUBSCRIBERS = 1_024  # of one machine that passes scopes on, at the most (`fleet/publisher.py`)
 FLAT, SCOPED = "flat", "scoped"
 Slopes = dict[str, Slope]
 
@@ -305,7 +305,7 @@
           budget=100, name="one process")
     t.add(SCOPED, role, "memory", "MB", t.part("all services", "fan_memory_mb", s.upstreams))
     t.add(SCOPED, role, "connections", "links", counted("subscribers", each),
-          budget=SUBSCRIBERS, name="subscribers of one")
+          budget=MOST_SUBSCRIBERS, name="subscribers of one")
     t.add(SCOPED, "client side", "state", "bytes",
           counted("which balancers serve which service", 4 * s.services * s.balancers_a_service))
 
@@ -380,7 +380,7 @@
           t.part("subscriber moves on", "scoped_deaf_s", s.balancers),
           budget=s.in_force_s, name="in force everywhere")
     t.add(SCOPED, CONTROL, "machines that are needed, by links", "machines",
-          counted("fleet/publisher", s.balancers / SUBSCRIBERS),
+          counted("fleet/publisher", s.balancers / MOST_SUBSCRIBERS),
           budget=s.control_machines, name="machines set aside")
     each = s.balancers / s.control_machines
     t.add(SCOPED, CONTROL, "machines that are needed, by processor time", "machines",
