--- a/tests/test_told.py
+++ b/tests/test_told.py
@@ -9,14 +9,28 @@
 from math import inf
 
 import pytest
-from stand_ins import FakeHost, Peer, Registry, configuration, listed, ok, read_message, running, target
+from stand_ins import (
+    FakeHost,
+    Peer,
+    Registry,
+    caller,
+    configuration,
+    listed,
+    ok,
+    read_message,
+    request,
+    running,
+    target,
+)
 from test_clients import play
+from test_fleet_runs import Stand
 from test_lists import END, chunk, listing, served_by, settled
 from test_service import moved
 
 from ospreyline import asking, facts, operator
 from ospreyline.asking import Asking
 from ospreyline.fleet import pace
+from ospreyline.fleet.lists import Lists
 from ospreyline.fleet.pace import Pace
 from ospreyline.net import service as service_module
 from ospreyline.net.discovery import Discovery, News, Target, _Call
@@ -184,8 +198,9 @@
 
 
 def longest(fates: Iterable[tuple[str, ...]], balancers: int, paced: bool, answer: float, lost: int,
-            stop: float = inf) -> tuple[float, tuple[str, ...], float]:
-    """The longest time to the list over all chains, phases, places and beats, its chain and phase."""
+            stop: float = TOLD) -> tuple[float, tuple[str, ...], float]:
+    """The longest time to the list over all chains, phases, places and beats, its chain and phase; or the
+    first one over `stop`."""
     found: tuple[float, tuple[str, ...], float] = (0.0, (), 0.0)
     for chain, place, beat in product(fates, (0.0, 0.5, 0.999), (1.0, 199.0)):
         for phase in count(1.0, STEP):
@@ -252,7 +267,7 @@
 @pytest.mark.parametrize("waits", [Growing, Patient])
 def test_the_walk_finds_waits_that_are_too_long(waits, monkeypatch):
     monkeypatch.setattr("ospreyline.decide.Asking", waits)
-    took, _, _ = longest([*chains(5)][-700::3], 200, False, 1_000.0, 2, stop=TOLD)
+    took, _, _ = longest([*chains(5)][-700::3], 200, False, 1_000.0, 2)
     assert took > TOLD
 
 
@@ -267,7 +282,7 @@
 
     if not kept:
         monkeypatch.setattr(Calls, "watch", replaced)
-    took, _, _ = longest([*chains(1)], 200, False, 2_000.0, 0, stop=TOLD)
+    took, _, _ = longest([*chains(1)], 200, False, 2_000.0, 0)
     assert (took <= TOLD) is kept
 
 
@@ -455,3 +470,64 @@
 
 def moved_post(registry: Registry) -> facts.Post:
     return facts.post(json.dumps(configuration([], registry.port)).encode(), {})
+
+
+def test_one_that_was_spared_by_others_asks_in_time_once_they_are_gone():
+    # its own call was as rare as the rule allows, up to 22 s, and a failure before kept it from haste
+    rare = Pace(150, 200, 250.0, 30_000.0)
+    rare.start(0.0)
+    for _ in range(3):
+        now = rare.due
+        rare.called(now)
+        rare.failed(now, told=True)
+    assert rare.due - now > 20_000.0
+    rare.hasten(now + 5_000.0)
+    assert rare.due - now <= 5_000.0 + rare.period
+    rare.hasten(now + 5_100.0)  # whoever says so again puts nothing off
+    assert rare.due - now <= 5_000.0 + rare.period
+
+
+def test_a_bank_says_when_nobody_asks_for_us_any_more(monkeypatch):
+    async def story():
+        stand, hastened = await Stand("a").start(), []
+        stand.bank._hasten = lambda: hastened.append(1)
+        stand.bank.lists._begun = -inf  # it has long begun, and hears nobody
+        stand.bank._alone, asks = True, [True]
+        monkeypatch.setattr(Lists, "asked_for_us", lambda self, now: asks[0])
+        monkeypatch.setattr(Lists, "tick", lambda self, now: None)
+        while not stand.bank._spared:
+            await asyncio.sleep(0)
+        assert not hastened
+        asks[0] = False
+        while stand.bank._spared:
+            await asyncio.sleep(0)
+        assert hastened == [1]
+        stand.bank.close()
+
+    play(story)
+
+
+def test_there_is_never_a_period_without_a_call_while_nobody_has_told_us():
+    # a balancer cannot know since when it counts as told of something: it may be at any time, so it asks all
+    # the time, beside what is out; nothing is left for a time at which it would have to begin
+    for fate in FATES:
+        world = World((fate,) * 40, 1.0, 500.0, 0, 0.5, 1.0, False, balancers=200, must_ask_in=30_000.0)
+        world.play()
+        gaps = [b - a for a, b in zip(world.begins, world.begins[1:], strict=False)]
+        assert len(gaps) >= 40 and max(gaps) <= 1_400.0 + 200.0
+
+
+def test_a_long_list_is_in_force_in_the_turn_in_which_it_was_read():
+    async def story():
+        registry, peers = Registry(), (Peer(ok(b"0")), Peer(ok(b"1")))
+        async with running(*peers, registry=registry) as service:
+            client = await caller(service)
+            others = [target(f"s-{i}", 1_000 + i, state="leaving") for i in range(2_000)]
+            last = target("u0", peers[0].port, state="leaving")
+            await registry.tell(40, *others, target("u1", peers[1].port), last, whole=True)
+            while service.turn.discovery.rev != 40:
+                await asyncio.sleep(0)
+            # a request that is read in the same pass is decided by the new list
+            assert {(await client.ask(request()))[2] for _ in range(8)} == {b"1"}
+
+    play(story)
