--- a/ospreyline/net/upstreams.py
+++ b/ospreyline/net/upstreams.py
@@ -8,22 +8,25 @@
 
 import asyncio
 import select
+import socket
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum, IntEnum
+from math import inf
 from typing import Any, cast
 
 import httptools
 
 from ospreyline.facts import REPORT_WORDS
 from ospreyline.host import End
-from ospreyline.net.sockets import failed
+from ospreyline.net.sockets import failed, shut
 
 MOST_BODY = 65_536
 MOST_HEAD = 32_768
 MOST_ANSWER = 1 << 20  # bytes of an answer's body
 MOST_RAW = MOST_HEAD + 8 * MOST_BODY  # one message as sent: small chunks cost several times their content
 SETTLE = 25.0  # ms after an answer in which what came behind it, or its connection's end, shows
+LEAST = 1.0  # ms of an errand's time with which it is still begun; what is left is told in whole ones
 KEEP_SHARE = 0.8  # of the time that an upstream keeps an idle connection: ours are closed earlier
 MOST_UTIL, MOST_FIGURE = 4.0, 1e5  # of a load report
 HOP_BY_HOP = frozenset((
@@ -122,8 +125,8 @@
 class Errand:
     """One request to an upstream, until it has ended."""
 
-    __slots__ = ("body", "conn", "done", "expires", "head", "head_only", "opening", "peer", "sent", "stage",
-                 "timer", "wanted")
+    __slots__ = ("begin_by", "body", "conn", "done", "expires", "head", "head_only", "opening", "peer",
+                 "sent", "stage", "timer", "wanted")
 
     def __init__(self, head: bytes, body: bytes, sent: float, time_out: float, head_only: bool,
                  done: Callable[[Answer | Cut], None], wanted: Callable[[], bool] = _anybody) -> None:
@@ -131,6 +134,7 @@
         self.body = body
         self.sent = sent
         self.expires = sent + time_out
+        self.begin_by = inf  # nothing of it may begin at its upstream from then on
         self.head_only = head_only
         self.done: Callable[[Answer | Cut], None] | None = done
         self.wanted = wanted  # whether anybody waits for it still
@@ -199,12 +203,12 @@
         return self.transport is not None and self.transport.get_write_buffer_size() == 0
 
     def start(self, errand: Errand, now: float) -> None:
-        """Write the request; what is left of its time-out goes along."""
+        """Write the request; what is left of its time-out by now goes along, and no more than that."""
         assert self.transport is not None
         self.errand, errand.conn = errand, self
         errand.stage = Stage.WRITING
-        left = max(1.0, errand.expires - now) / 1e3
-        self.transport.write(b"%bX-Expires-In: %.3f\r\n\r\n%b" % (errand.head, left, errand.body))
+        left = int(errand.expires - now)
+        self.transport.write(b"%bX-Expires-In: %.3f\r\n\r\n%b" % (errand.head, left / 1e3, errand.body))
         if self.written():
             errand.stage = Stage.WRITTEN
 
@@ -215,8 +219,13 @@
     def close(self) -> None:
         self.errand = None
         self.peer.forget(self)
-        if self.transport is not None:
-            self.transport.abort()
+        if self.transport is None:
+            return
+        if not (self.transport.is_closing() or self.written()):
+            # guards: the loop closes it a pass later, and in that pass what lay in our buffer, told as never
+            # sent, could leave us whole
+            shut(self.transport, socket.SHUT_RDWR)
+        self.transport.abort()
 
     # what comes back
 
@@ -337,35 +346,54 @@
         self.idle: list[Conn] = []  # last used last
         self.errands: dict[Errand, None] = {}
 
-    def run(self, errand: Errand, now: float) -> None:
+    def run(self, errand: Errand) -> None:
         errand.peer = self
         self.errands[errand] = None
+        now = self.pool.clock()  # guards: a turn may be long, and what it began with is no more what is left
         errand.timer = self.pool.loop.call_later(
             max(0.0, errand.expires - now) / 1e3, self._expire, errand)
-        # guards: between choosing and writing the list can change, and the client can go
-        if self.withdrawn or not errand.wanted():
+        if self.withdrawn or errand.expires - now < LEAST:
             errand.cut(Why.WITHDRAWN)
             return
         for conn in reversed(self.idle):
             if now - conn.used < SETTLE:
                 continue  # guards: a second answer behind the last one would be taken for this one's
-            self.idle.remove(conn)
             # guards: an end, or a second answer, that has come and was not read yet would be this one's
-            if conn.transport is not None and now - conn.used < self.pool.keep_idle \
-                    and not unread(conn.transport, select.POLLIN):
-                conn.start(errand, now)
-                return
-            conn.close()
+            if conn.transport is None or now - conn.used >= self.pool.keep_idle \
+                    or unread(conn.transport, select.POLLIN):
+                conn.close()
+                continue
+            if self._may_begin(errand):
+                self.idle.remove(conn)
+                conn.start(errand, self.pool.clock())
+            return
         if not self.pool.has_room():
             errand.cut(Why.WITHDRAWN)
             return
-        errand.opening = self.pool.loop.create_task(self._open(errand))
+        # guards: counted from now on, or all sends of one turn would see the same room
+        conn = Conn(self)
+        self.pool.open[conn] = None
+        errand.opening = self.pool.loop.create_task(self._open(errand, conn))
+        errand.opening.add_done_callback(lambda task: conn.close() if task.cancelled() else None)
+
+    def _may_begin(self, errand: Errand) -> bool:
+        """The last look before an upstream sees something of an errand, its connection or its first byte."""
+        # guards: between choosing and this lie a turn, a permit, passes of the loop, maybe a stop of this
+        # process; the client can have left meanwhile, its time can be over, and so can the one in which its
+        # repeat is known for one. No upstream is to blame for that
+        now = self.pool.clock()
+        if now < errand.begin_by and errand.expires - now >= LEAST and errand.wanted():
+            return True
+        errand.cut(Why.WITHDRAWN)
+        return False
 
-    async def _open(self, errand: Errand) -> None:
+    async def _open(self, errand: Errand, conn: Conn) -> None:
         """Connect for an errand; a connection that comes too late for it is closed."""
         pool = self.pool
-        conn = Conn(self)
-        pool.open[conn] = None
+        opening, errand.opening = errand.opening, None
+        if not self._may_begin(errand):
+            return conn.close()
+        errand.opening = opening
         try:
             async with asyncio.timeout(pool.connect_time_out / 1e3):
                 await self._connect(conn)
@@ -380,12 +408,10 @@
             # guards: an upstream that died right after it accepted; written on, the request might have run
             if conn.transport is None or unread(conn.transport, select.POLLIN):
                 errand.cut(Why.BROKEN)
-            elif pool.clock() >= errand.expires:
+            elif errand.expires - pool.clock() < LEAST:
                 # guards: after this process stood still its connection shows before its time-out does
                 errand.cut(Why.NO_CONNECTION)
-            elif not errand.wanted():
-                errand.cut(Why.WITHDRAWN)  # guards: its client left while its connection came up
-            elif errand.done is not None:
+            elif errand.done is not None and self._may_begin(errand):
                 conn.start(errand, pool.clock())
         finally:
             if conn.errand is None:
