Links: a dial given up as its connection comes up leaves no dead link behind

Found by the hollow run (700 balancers, 46 scopes each): a loop that was over 1 s late gave a dial up after its link had been greeted; uvloop then closes the connection without a word to the protocol, the link stays in by_name, and each write raises: in a balancer's bank each look would end there, before the tidying. The dial closes its link. Shown by test_a_dial_that_is_given_up_as_it_comes_up_leaves_no_link_behind, red without it.

--- a/ospreyline/fleet/links.py
+++ b/ospreyline/fleet/links.py
@@ -187,6 +187,9 @@
                 await self.loop.create_connection(lambda: link, *at, local_addr=self._from)
         except (OSError, TimeoutError):
             self._first.pop(name, None)
+            # guards: a loop that was late gives up a connection that has come up, and nobody tells its end
+            if link.transport is not None:
+                link.close("")
             if self._undialled is not None:
                 self._undialled(name)
         finally:
--- a/tests/test_hollow.py
+++ b/tests/test_hollow.py
@@ -4,13 +4,14 @@
 
 import asyncio
 from random import Random
+from types import SimpleNamespace
 
 import numpy as np
 import pytest
 from click.testing import CliRunner
 
 from ospreyline.fleet import hollow as process
-from ospreyline.fleet.frames import Change, encode
+from ospreyline.fleet.frames import Change, Got, encode
 from ospreyline.fleet.publisher import Fanout, Source
 from ospreyline.fleet.scopes import HERE, LEAVING
 from ospreyline.fleet.subscriber import Subscriber
@@ -93,6 +94,45 @@
     assert max(c[2] for c in costs) - min(c[2] for c in costs) <= 0.1 * costs[0][2] + 1
 
 
+def test_a_dial_that_is_given_up_as_it_comes_up_leaves_no_link_behind():
+    """A process that was late: the time is over when the answer is read, and the loop closes the connection
+    without a word to the link, which was greeted. Writing to it failed for ever after."""
+
+    async def story() -> None:
+        loop = asyncio.get_running_loop()
+        heard, lost = [], []
+        there = process.Node(loop, "f", {}, lambda name, message: heard.append(message), lambda name: None)
+        at = await there.links.listen(("127.0.0.1", 0))
+        here = process.Node(loop, "b", {"f": at}, lambda name, message: None, lost.append)
+        connect = loop.create_connection
+
+        async def late(make, *args, **kwargs):
+            _, protocol = await connect(make, *args, **kwargs)
+            async with asyncio.timeout(10):
+                while not protocol.greeted:
+                    await asyncio.sleep(0)
+            raise TimeoutError
+
+        here.links.loop = SimpleNamespace(
+            create_connection=late, create_task=loop.create_task, time=loop.time)
+        word = Got(session=1, edition=1, at=1.0)
+        here.send([("f", word)])
+        async with asyncio.timeout(10):
+            while not lost:
+                await asyncio.sleep(0)
+        assert not here.links.by_name and not here.links.open
+        here.links.loop = loop
+        heard.clear()
+        async with asyncio.timeout(10):
+            while not heard:  # and the next word goes by a new one
+                here.send([("f", word)])
+                await asyncio.sleep(0.01)
+        here.links.close()
+        there.links.close()
+
+    asyncio.run(story())
+
+
 def test_services_are_as_many_and_as_large_as_planned():
     sizes = process.sizes(6_700, 200_000, 1)
     assert len(sizes) == 6_700 and abs(sum(sizes) - 200_000) < 4_000 and max(sizes) <= process.MOST_OF_ONE
