At the limit of descriptors who waits is accepted as soon as one has gone

Accepting was put off for 20 ms though a descriptor had come free meanwhile; and a connection counted twice in the pass in which it was taken in, so the last place could stand empty for as long. Clients.lost calls the listener again in the pass after; _coming is a count that ends where the connection begins.

--- a/ospreyline/net/clients.py
+++ b/ospreyline/net/clients.py
@@ -117,6 +117,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
         self.clients.open[self] = None
+        self.clients._coming -= 1
 
     def spare(self) -> int:
         """How readily it makes room: 2 last answer written, 1 has asked nothing, 0 idle, -1 not at all."""
@@ -375,8 +376,7 @@
             self.clients.door.left(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self.clients.open.pop(self, None)
-        self.clients.closing.pop(self, None)
+        self.clients.lost(self)
         self._parser = None  # guards: the two would wait for the collector together
         self._over = True
         self._waiting.clear()
@@ -403,7 +403,9 @@
         self.most_open = most_open
         self.open: dict[Client, None] = {}
         self.closing: dict[Client, None] = {}  # to make room; their descriptors are free in the next pass
-        self._coming: set[asyncio.Task[None]] = set()
+        self._coming = 0  # accepted, and not yet among the open ones
+        self._tasks: set[asyncio.Task[None]] = set()  # that take them in
+        self._waits: asyncio.TimerHandle | None = None  # until we accept again, at the limit
         self._socket: socket.socket | None = None
 
     def listen(self, at: tuple[str, int]) -> tuple[str, int]:
@@ -423,7 +425,7 @@
         """
         sock, accepted = self._socket, False
         while sock is not None:
-            here = len(self.open) + len(self._coming) + len(self.closing)
+            here = len(self.open) + self._coming + len(self.closing)
             if here >= self.most_open:
                 # guards: the descriptor of who makes room is free in the next pass only, and the loop calls
                 # again then; taken at once, a burst went over the limit by as many as could make room
@@ -443,8 +445,9 @@
             accepted = True
             self.door.counts["accepted"] += 1
             task = self.loop.create_task(self._admit(conn))
-            self._coming.add(task)
-            task.add_done_callback(self._coming.discard)
+            self._coming += 1
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
             # guards: those that ask once and stay, or say nothing, hold what clients may open at all, and the
             # usual ones are kept out long before our own limit; so half of it is where room is made
             if here >= self.most_open // 2:
@@ -455,6 +458,7 @@
         try:
             await self.loop.connect_accepted_socket(lambda: Client(self), conn)
         except OSError:
+            self._coming -= 1
             conn.close()
 
     def _make_room(self, silent_for: float) -> bool:
@@ -464,7 +468,7 @@
         spare = [(rank, c) for c in self.open if (rank := c.spare()) >= 0]
         found = [(-rank, c.since, c) for rank, c in spare
                  if now - c.since > (silent_for if rank == 1 else SETTLED)]
-        silent = len(self._coming) + sum(rank == 1 for rank, _ in spare)
+        silent = self._coming + sum(rank == 1 for rank, _ in spare)
         found.sort(key=lambda entry: entry[:2])
         # guards: after a late pass the listener may be read before a request that has come to one of them
         client = next((c for _, _, c in found if not c.unread() and not c.holding()), None)
@@ -479,12 +483,21 @@
     def _put_off(self, sock: socket.socket) -> None:
         """Accept again when connections have settled. Guards: a failing accept would spin the loop."""
         self.loop.remove_reader(sock)
-        self.loop.call_later(FRESH, self._accept_again)
+        if self._waits is None:
+            self._waits = self.loop.call_later(FRESH, self._accept_again)
 
     def _accept_again(self) -> None:
+        self._waits = None
         if self._socket is not None:
             self.loop.add_reader(self._socket, self.accept)
-            self.accept()
+
+    def lost(self, client: Client) -> None:
+        """A connection has ended: who waits for its descriptor is accepted in the next pass."""
+        self.open.pop(client, None)
+        self.closing.pop(client, None)
+        if self._waits is not None:
+            self._waits.cancel()
+            self._accept_again()
 
     def tidy(self) -> None:
         """Cut off clients that are silent for too long."""
