--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -317,7 +317,7 @@
 def test_a_request_that_is_whole_only_as_the_end_comes_is_answered(monkeypatch):
     # all that was out had been answered, once; the rest of a slow one that came then was taken, and cut off
     async def story():
-        for name, value in (("MOST_NOTICE", 0.0), ("LAST_ANSWERS", 0.05), ("LAST_BYTES", 1.5),
+        for name, value in (("MOST_NOTICE", 0.0), ("LAST_ANSWERS", 0.05), ("LAST_BYTES", 3.0),
                             ("KEEP_ACCEPTING", 0.0)):
             monkeypatch.setattr(service_module, name, value)
         body = b"x" * 150_000
@@ -332,6 +332,7 @@
             await asyncio.sleep(0.1)  # the last answers are on their way
             late.sendall(whole[-1:])
             assert (await read_all(late)).startswith((b"HTTP/1.1 502", b"HTTP/1.1 504"))
+            assert service.turn.counts["overdue"] == 1  # by the stop, not by its fetch's time-out
             assert (await read_all(slow)).endswith(body)
             await asyncio.wait_for(stop, 4)
             assert not service.turn.visits
