--- a/ospreyline/fleet/subscriber.py
+++ b/ospreyline/fleet/subscriber.py
@@ -131,9 +131,9 @@
         found = list(publishers)
         hashed = sorted((n for n, _ in found), key=lambda n: mark("publisher", name, n))
         near = {n for n, z in found if z == zone}
-        # the best is of our zone; then in turns with others, since a zone is lost as a whole
+        # the best is of our zone; then those of others come, since a zone is lost as a whole
         self.preferred = sorted(hashed, key=lambda n: n not in near)
-        self.order = _in_turns(self.preferred, len(near))
+        self.order = self.preferred[:1] + self.preferred[len(near) or 1:] + self.preferred[1:len(near) or 1]
         self._at = self._looks = 0
         self._pace = Pace(number, max(1, count), CALLS * max(1, len(self.order)), MUST)
         self._pace.start(now)
@@ -574,10 +574,3 @@
         self.bytes += held.size - before
         if changed:
             self.news.append(News(message.scope, False, False, changed))
-
-
-def _in_turns(names: list[str], near: int) -> list[str]:
-    """The first of the near ones, the first of the others, the second of the near ones, and so on."""
-    some, others = names[:near], names[near:]
-    found = [name for pair in zip(some, others, strict=False) for name in pair]
-    return found + some[len(others):] + others[len(some):]
