Stories of told: orders forced where two calls or a move could be raced

One of two calls that fails is out before the other speaks; discovery moves once the former watch has been told. Before, the mends of Turn.move (paced) and of Discovery.ended could be taken out and the stories stayed green on a quiet machine.

--- a/tests/test_told.py
+++ b/tests/test_told.py
@@ -377,6 +377,8 @@
             await registry.until(lambda: len(registry.mute) == 2)
             other = registry.mute[1 - first]
             registry.mute[first].transport.abort()
+            while len(service.turn.discovery._calls) == 2:
+                await asyncio.sleep(0)
             other.write(HEAD + chunk(listing(40, target("u0", peers[0].port, state="leaving"))))
             await served_by(service, {b"1"})
             assert service.turn.discovery.told_by_watch and other in registry.mute
@@ -457,6 +459,8 @@
         on = operator.Operator(list=operator.Lists(calls_per_s=250.0)) if paced else None
         async with running(*peers, registry=old, operator=on) as service:
             await old.tell(7)
+            while (service.turn._pace or service.turn.balancer._asking).due < inf:  # it has been told
+                await asyncio.sleep(0)
             service.reload(lambda: (moved_post(new), on))
             await new.until(lambda: len(new.mute) == 1)
             await old.tell(8)  # what the former watch tells says nothing of the new one
