--- a/ospreyline/fleet/subscriber.py
+++ b/ospreyline/fleet/subscriber.py
@@ -45,6 +45,7 @@
 ACKS = 30.0  # ms for which what came is gathered before it is acknowledged
 MUST = 10_000.0  # ms; no pause between two tries at a publisher is longer than four tenths of it
 CALLS = 500.0  # subscribers a second that a publisher takes
+TRY = 1_000.0  # ms between the beginnings of two tries at publishers, at the least; there are many of them
 BYTES = 24 << 10  # a second that a balancer takes
 MOST_BYTES = 32 << 20  # that are held
 MOST_SCOPES = 1_000  # that a balancer wants at once, and so names in one message
@@ -136,6 +137,8 @@
         self.order = self.preferred[:1] + self.preferred[len(near) or 1:] + self.preferred[1:len(near) or 1]
         self._at = self._looks = 0
         self._pace = Pace(number, max(1, count), CALLS * max(1, len(self.order)), MUST)
+        # guards: as at one list service, each publisher that is gone would cost over two seconds
+        self._pace.period = max(TRY, self._pace.window)
         self._pace.start(now)
 
     # what the balancer wants
