--- a/ospreyline/lab/referee.py
+++ b/ospreyline/lab/referee.py
@@ -180,9 +180,11 @@
         while recent[0][0] <= now - window:
             recent.popleft()
         able = self._rules.overload_factor * server.warmth() * server.base * server.cores * window
-        # N + 2 root N + 2 visits of mean work, by the rule: what is over N is chance
+        # N + 2 root N + 2 visits of mean work, by the rule. Under four visits N + 3 root N,
+        # as it was judged before, allows less
         mean = sum(w for _, w in recent) / len(recent)
-        slack = 2 * mean * (sqrt(able / mean) + 1)
+        n = able / mean
+        slack = mean * min(2 * (sqrt(n) + 1), 3 * sqrt(max(1.0, n)))
         share = sum(w for _, w in recent) / (able + slack)
         self.pushed = max(self.pushed, share)
         if share > 1:
--- a/ospreyline/rig/referee.py
+++ b/ospreyline/rig/referee.py
@@ -383,8 +383,11 @@
                 warmth = group.cold_from + (1 - group.cold_from) * (now - since) / group.warm_ms
                 able = factor * warmth * self._speeds[index] * group.cores * window
                 mean = sum(work for _, work in pushed) / len(pushed)
-                # N + 2 root N + 2 visits of mean work, by the rule: what is over N is chance
-                share = sum(w for _, w in pushed) / (able + 2 * mean * (sqrt(able / mean) + 1))
+                # N + 2 root N + 2 visits of mean work, by the rule. Under four visits
+                # N + 3 root N, as it was judged before, allows less
+                n = able / mean
+                slack = mean * min(2 * (sqrt(n) + 1), 3 * sqrt(max(1.0, n)))
+                share = sum(w for _, w in pushed) / (able + slack)
                 self.pushed = max(self.pushed, share)
                 if share > 1:
                     much = f"{share:.2f} times what an upstream {now - since:.0f} ms old bears"
