--- a/ospreyline/net/clients.py
+++ b/ospreyline/net/clients.py
@@ -19,6 +19,7 @@
 
 import httptools
 
+from ospreyline.net.events import EventLog
 from ospreyline.net.sockets import drain, shut, unacknowledged
 from ospreyline.net.upstreams import HOP_BY_HOP, MOST_BODY, MOST_HEAD, MOST_RAW, unread
 
@@ -139,7 +140,8 @@
             # behind the last request that is answered here
             self._left_over += len(data)
             if self._left_over > MOST_LINGER:
-                self.drop()  # guards: a body of 60 MB costs the core that others wait for
+                # guards: a body of 60 MB costs the core that others wait for
+                self.drop("too much behind its last answer")
             return
         self._raw += len(data)
         try:
@@ -336,7 +338,7 @@
         if self.holding():
             self.clients.loop.call_later(SETTLED, self._lingered)
         else:
-            self.drop()
+            self.drop("its last answer has gone")
 
     def holding(self) -> bool:
         """Whether a part of what was written is not with its client's machine."""
@@ -388,8 +390,11 @@
             return False
         return now - self.since > (SLOW if self._reading or self._over else IDLE if self.asked else SILENT)
 
-    def drop(self) -> None:
+    def drop(self, why: str) -> None:
+        """Close the connection at once."""
         if self.transport is not None and not self.transport.is_closing():
+            if self.clients.events is not None:
+                self.clients.events.closed("client", why, str(self.transport.get_extra_info("peername")))
             drain(self.transport)
             self.transport.abort()
 
@@ -397,8 +402,10 @@
 class Clients:
     """The listening socket and the connections accepted."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, door: Door, most_open: int) -> None:
+    def __init__(self, loop: asyncio.AbstractEventLoop, door: Door, most_open: int,
+                 events: EventLog | None = None) -> None:
         self.loop = loop
+        self.events = events
         self.door = door
         self.most_open = most_open
         self.open: dict[Client, None] = {}
@@ -477,7 +484,7 @@
         self.door.counts["made_room"] += 1
         self.open.pop(client, None)
         self.closing[client] = None
-        client.drop()
+        client.drop("made room for another")
         return True
 
     def _put_off(self, sock: socket.socket) -> None:
@@ -512,7 +519,7 @@
             if client.asked and client.idle():
                 client.finish()  # guards: some rest until we end them, and ask something in that moment
             else:
-                client.drop()
+                client.drop("too slow, or silent")
         while len(self.open) > self.most_open // 2 and self._make_room(SETTLED):
             pass
 
@@ -543,7 +550,7 @@
     def close(self) -> None:
         self._shut()
         for client in list(self.open):
-            client.drop()
+            client.drop("the process ends")
 
     def finish_idle(self) -> None:
         for client in self._idle():
--- a/ospreyline/net/covering.py
+++ b/ospreyline/net/covering.py
@@ -68,7 +68,7 @@
             if taken.request.trace == request.trace and not taken.answered:
                 if taken.client is not None:
                     taken.client.out = None
-                    taken.client.drop()
+                    taken.client.drop("its client asks again on another")
                 taken.client, taken.left, client.tag = client, False, taken.tag
                 self._turn.counts["joined"] += 1
                 return True
@@ -212,7 +212,7 @@
             if taken.client is not None:
                 client, taken.client = taken.client, None
                 client.out = None
-                client.drop()
+                client.drop("another balancer has taken its request over")
             if not any(e is not None and e.done is not None for e in taken.errands):
                 turn.close_visit(now, taken)
         elif what == "take":
--- a/ospreyline/net/discovery.py
+++ b/ospreyline/net/discovery.py
@@ -94,12 +94,15 @@
 
     def __init__(self, owner: Discovery, watching: bool) -> None:
         self.owner = owner
+        self.number = 0  # in the log
         self.watching = watching
         self.at = owner.at
         self.after = owner.rev
         self.transport: asyncio.Transport | None = None
         self.since = self.heard = owner.loop.time()
         self.over = self.spoken = False
+        self.why = "another call has taken its place"  # of its end, for the log
+        self.bytes = self.objects = 0  # that came, for the log
         self.newer = -1  # the latest version that another call has told since this one began
         self.retry_after = 0.0  # ms; as it was told
         self._parser = httptools.HttpResponseParser(self)
@@ -122,6 +125,7 @@
         return now - self.heard > QUIET or (not self.watching and now - self.since > MOST_CALL)
 
     def data_received(self, data: bytes) -> None:
+        self.bytes += len(data)
         if not self.watching:
             self.heard = self.owner.loop.time()
         try:
@@ -184,6 +188,9 @@
     def _told(self, text: bytes) -> None:
         if (news := read(text, self.owner.log)) is not None:
             self.heard = self.owner.loop.time()
+            self.objects += 1
+            self.owner.log.info("list received", call=self.number, rev=news.rev, whole=news.whole,
+                                entries=len(news.targets))
             self.owner.told(self, news)
         else:
             # guards: a lost change would be news never told; asking again brings it
@@ -194,6 +201,7 @@
         if self.over:
             return
         self.over = True
+        self.why = why or "answered"
         if self.transport is not None:
             self.transport.abort()
         self.owner.ended(self, why)
@@ -212,6 +220,7 @@
         self._tell_failed = tell_failed
         self._calls: dict[_Call, asyncio.Task[None]] = {}
         self._watch: _Call | None = None
+        self.begun = 0  # calls so far
         self.again = 1.4  # s after which a call for the whole list has another beside it
         self._unspoken: _Call | None = None  # a watch before that has told nothing: who speaks first stays
         self._replaced: _Call | None = None  # the watch before, heard until the new one has spoken
@@ -260,7 +269,11 @@
 
     def _start(self, watching: bool) -> _Call:
         call = _Call(self, watching)
+        self.begun += 1
+        call.number = self.begun
         self._calls[call] = self.loop.create_task(self._open(call))
+        self.log.info("list call begins", call=call.number, watch=watching, after=call.after,
+                      beside=len(self._calls) - 1)
         return call
 
     async def _open(self, call: _Call) -> None:
@@ -273,6 +286,9 @@
         call.over = True
         if (task := self._calls.pop(call, None)) is not None:
             task.cancel()
+            self.log.info("list call ended", call=call.number, watch=call.watching, why=call.why,
+                          connected=call.transport is not None, bytes=call.bytes, objects=call.objects,
+                          ms=round(1e3 * (self.loop.time() - call.since)))
         if call.transport is not None:
             call.transport.abort()
 
--- a/ospreyline/net/service.py
+++ b/ospreyline/net/service.py
@@ -45,7 +45,7 @@
         self._operator = operator  # None: nothing that is off by default is on
         self._log = structlog.get_logger()
         self.turn = Turn(loop, post, operator)
-        self.clients = Clients(loop, self.turn, self.turn.most_clients)
+        self.clients = Clients(loop, self.turn, self.turn.most_clients, self.turn.events)
         self.at = post.listen
         self._rounds = 0
         self._tidying: asyncio.TimerHandle | None = None
--- a/ospreyline/net/turn.py
+++ b/ospreyline/net/turn.py
@@ -26,6 +26,7 @@
 from ospreyline.net import discovery
 from ospreyline.net.clients import Client, Request
 from ospreyline.net.discovery import Discovery, News, Target
+from ospreyline.net.events import EventLog
 from ospreyline.net.upstreams import Answer, Cut, Errand, Stage, Upstreams, Why, end_of, load_report
 from ospreyline.state import Visit
 
@@ -55,8 +56,8 @@
 class Taken:
     """A visit as the front knows it: who waits for it, its handle, and the errands out for it."""
 
-    __slots__ = ("answered", "came", "client", "errands", "handle", "late", "left", "request", "tag", "terms",
-                 "timed_out")
+    __slots__ = ("answered", "came", "client", "ends", "errands", "handle", "late", "left", "request", "tag",
+                 "terms", "timed_out")
 
     def __init__(self, tag: int, request: Request, terms: PathPrefix, client: Client | None) -> None:
         self.tag = tag
@@ -65,6 +66,7 @@
         self.client = client
         self.handle: Visit | None = None
         self.errands: list[Errand | None] = []
+        self.ends: list[str] = []  # of its attempts, in the order in which they ended, for the log
         self.came = 0.0  # its last byte to this machine, as far as the system tells
         self.answered = False
         self.left = False  # its client has, and nothing begins without
@@ -90,6 +92,7 @@
         self.visits: dict[int, Taken] = {}
         self._ids: set[bytes] = set()  # of the open ones
         self.counts: Counter[str] = Counter()
+        self.events = EventLog(self.logger, clock, self.counts)
         self.latencies: list[float] = []  # ms, of the visits delivered since the last line of counts
         self.lag = 0.0  # ms, the most that a timer came late since then
         self._loop = loop
@@ -108,6 +111,7 @@
         self._indices: dict[str, int] = {}
         self._states: dict[str, Readiness] = {}
         self._gone: dict[str, float] = {}  # since when, oldest first
+        self._uids: dict[int, str] = {}
         self._places: dict[int, tuple[str, int]] = {}  # zone and cell of each
         self._targets: dict[str, Target] = {}  # the latest of each, with its place
         # descriptors: some for the loop, the listener and discovery; half of the rest for each side
@@ -116,7 +120,7 @@
         self._again, self._draw = AGAIN, Random(post.seed + 2).random
         self._pushed = False  # the list has come, or its first call has failed
         self.upstreams = Upstreams(loop, clock, part, post.connect_time_out, post.keep_idle,
-                                   post.memory // 8)
+                                   post.memory // 8, self.events)
         if operator is not None:
             self._switch_on(operator)
         kept = self._keeping.known(post.known) if self._keeping is not None else post.known
@@ -420,6 +424,7 @@
     def ended(self, now: float, taken: Taken, number: int, outcome: Answer | Cut) -> None:
         end = told = end_of(outcome)
         self.counts[end.name.lower()] += 1
+        taken.ends.append(end.name.lower())
         errand = taken.errands[number]
         spent = 0.0
         if errand is not None:
@@ -614,6 +619,7 @@
                 if at is None or target.state == "left":
                     continue
                 upstream = self._indices[target.uid] = self.upstreams.add(at)
+                self._uids[upstream] = target.uid
             lines.append(self._line(target, upstream))
             self._note_state(target.uid, lines[-1].readiness, target)
             self.upstreams.listed(upstream, at or self.upstreams.peers[upstream].at, target.boot_ms,
@@ -668,12 +674,15 @@
                 return
             self.balancer.forget(upstream)
             del self._gone[uid], self._indices[uid], self._states[uid], self._targets[uid]
-            del self.upstreams.peers[upstream], self._places[upstream]
+            del self.upstreams.peers[upstream], self._places[upstream], self._uids[upstream]
 
     # -- what the decisions ask for -----------------------------------------------------------------------
 
     def send(self, tag: int, upstream: int, time_out: float) -> None:
         taken = self.visits[tag]
+        if taken.ends:
+            self.events.line("retry", id=taken.request.trace.decode("latin-1"), after=taken.ends,
+                             attempt=len(taken.errands) + 1, upstream=self._uids[upstream])
         taken.errands.append(None)
         times = self.upstreams.peers[upstream].times
         # guards: counted from when it was decided, whenever it is carried out
@@ -687,6 +696,7 @@
     def bounce(self, tag: int, retry_after: float) -> None:
         taken = self.visits[tag]
         taken.answered = True
+        self._log_refusal("rejected", taken)
         fields = b"Retry-After: %.3f\r\n" % (retry_after / 1e3) if retry_after else b""
         reply = taken, 503, fields, b"no room, try again\n"
         if self.covering is None or self.covering.may_bounce(self._turned, taken, reply):
@@ -695,10 +705,17 @@
     def fail(self, tag: int) -> None:
         taken = self.visits[tag]
         taken.answered = True
+        self._log_refusal("failed", taken)
         if self.covering is not None:
             self.covering.failed(self._turned, taken)
         self._to_do.append((self.reply, (taken, 504 if taken.timed_out else 502, b"", b"no answer\n")))
 
+    def _log_refusal(self, event: str, taken: Taken) -> None:
+        """Say why a request gets an answer that no upstream gave."""
+        why = "its attempts failed" if taken.ends else "no upstream has room for it in time"
+        self.events.line(event, id=taken.request.trace.decode("latin-1"), prefix=taken.terms.name, why=why,
+                         attempts=taken.ends)
+
     def wake(self, at: float, call: Callable[[float], None]) -> None:
         self._wake_number += 1
         heappush(self._wakes, (at, self._wake_number, call))
@@ -707,7 +724,7 @@
         self._to_do.append((self._probe, (upstream,)))
 
     def drop(self, upstream: int) -> None:
-        self._to_do.append((lambda now: self.upstreams.peers[upstream].drop_idle(), ()))
+        self._to_do.append((lambda now: self.upstreams.peers[upstream].drop_idle("it may be silent"), ()))
 
     def tell(self, message: bytes) -> None:
         if self.bank is not None:  # without links nothing is sent; what is told is only ever a hint
--- a/ospreyline/net/upstreams.py
+++ b/ospreyline/net/upstreams.py
@@ -19,6 +19,7 @@
 
 from ospreyline.facts import REPORT_WORDS
 from ospreyline.host import End
+from ospreyline.net.events import EventLog
 from ospreyline.net.sockets import failed, shut
 
 MOST_BODY = 65_536
@@ -157,7 +158,7 @@
         if self.opening is not None:
             self.opening.cancel()
         if self.conn is not None and isinstance(outcome, Cut):
-            self.conn.close()  # its late bytes must never reach another visit
+            self.conn.close(outcome.why.value)  # its late bytes must never reach another visit
         done(outcome)
 
     def cut(self, why: Why) -> None:
@@ -216,11 +217,13 @@
         if self.errand is not None and self.errand.stage is Stage.WRITING:
             self.errand.stage = Stage.WRITTEN
 
-    def close(self) -> None:
+    def close(self, why: str) -> None:
         self.errand = None
         self.peer.forget(self)
         if self.transport is None:
             return
+        if not self.transport.is_closing():
+            self.peer.closed(why)
         if not (self.transport.is_closing() or self.written()):
             # guards: the loop closes it a pass later, and in that pass what lay in our buffer, told as never
             # sent, could leave us whole
@@ -232,7 +235,7 @@
     def data_received(self, data: bytes) -> None:
         errand = self.errand
         if errand is None:  # guards: bytes that nobody asked for would be taken for the next answer
-            self.close()
+            self.close("bytes that nobody asked for")
             return
         errand.stage = Stage.ANSWERING
         self._raw += len(data)
@@ -260,7 +263,7 @@
             self._begin()
             self.peer.rest(self)
         else:
-            self.close()
+            self.close("not kept by its last answer")
         errand.end(answer)
 
     def eof_received(self) -> bool:
@@ -361,7 +364,7 @@
             # guards: an end, or a second answer, that has come and was not read yet would be this one's
             if conn.transport is None or now - conn.used >= self.pool.keep_idle \
                     or unread(conn.transport, select.POLLIN):
-                conn.close()
+                conn.close("idle too long, or something unread")
                 continue
             if self._may_begin(errand):
                 self.idle.remove(conn)
@@ -374,7 +377,8 @@
         conn = Conn(self)
         self.pool.open[conn] = None
         errand.opening = self.pool.loop.create_task(self._open(errand, conn))
-        errand.opening.add_done_callback(lambda task: conn.close() if task.cancelled() else None)
+        errand.opening.add_done_callback(
+            lambda task: conn.close("its request has ended") if task.cancelled() else None)
 
     def _may_begin(self, errand: Errand) -> bool:
         """The last look before an upstream sees something of an errand, its connection or its first byte."""
@@ -392,7 +396,7 @@
         pool = self.pool
         opening, errand.opening = errand.opening, None
         if not self._may_begin(errand):
-            return conn.close()
+            return conn.close("not needed any more")
         errand.opening = opening
         try:
             async with asyncio.timeout(pool.connect_time_out / 1e3):
@@ -415,7 +419,7 @@
                 conn.start(errand, pool.clock())
         finally:
             if conn.errand is None:
-                conn.close()
+                conn.close("its request does not go out")
 
     async def _connect(self, conn: Conn) -> None:
         await self.pool.loop.create_connection(lambda: conn, *self.at)
@@ -425,7 +429,7 @@
             # guards: an upstream that was cut off says nothing. Connections that have not answered since
             # this errand was sent may be as dead as its own
             for conn in [c for c in self.idle if c.used < errand.sent]:
-                conn.close()
+                conn.close("no answer on another since")
         errand.cut(Why.TIMED_OUT)
 
     def rest(self, conn: Conn) -> None:
@@ -437,10 +441,15 @@
         if conn in self.idle:
             self.idle.remove(conn)
 
-    def drop_idle(self, before: float = float("inf")) -> None:
+    def drop_idle(self, why: str, before: float = float("inf")) -> None:
         """Close the connections that have been idle since before a time."""
         for conn in [c for c in self.idle if c.used <= before]:
-            conn.close()
+            conn.close(why)
+
+    def closed(self, why: str) -> None:
+        """A connection to it is closed by us."""
+        if self.pool.events is not None:
+            self.pool.events.closed("upstream", why, f"{self.at[0]}:{self.at[1]}")
 
     def renew(self) -> None:
         """The list names it anew: what leads to what it was is not used again, nor written to.
@@ -449,7 +458,7 @@
         that is cold now; one that waits for its connection could leave later than the grace after a drain.
         """
         self.times += 1
-        self.drop_idle()
+        self.drop_idle("the list names its upstream anew")
         for errand in [e for e in self.errands if e.stage is Stage.CONNECTING]:
             errand.cut(Why.WITHDRAWN)
 
@@ -463,11 +472,13 @@
     """All upstreams, by the small index that the front gave them, and the descriptors they may use."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, clock: Callable[[], float], most_open: int,
-                 connect_time_out: float, keep_idle: float, most_held: int) -> None:
+                 connect_time_out: float, keep_idle: float, most_held: int,
+                 events: EventLog | None = None) -> None:
         self.loop = loop
         self.clock = clock
         self.most_open = most_open
         self.most_held = most_held
+        self.events = events
         self.held = 0  # bytes of answers that are not yet whole
         self.adopt(connect_time_out, keep_idle)
         self.peers: dict[int, Peer] = {}
@@ -499,14 +510,14 @@
             idle = [peer.idle[0] for peer in self.peers.values() if peer.idle]
             if not idle:
                 return False
-            min(idle, key=lambda conn: conn.used).close()
+            min(idle, key=lambda conn: conn.used).close("made room for another")
         return True
 
     def tidy(self, now: float) -> None:
         """Close what has been idle for long, before the other side does."""
         for peer in self.peers.values():
-            peer.drop_idle(now - self.keep_idle)
+            peer.drop_idle("idle too long", now - self.keep_idle)
 
     def close(self) -> None:
         for conn in list(self.open):
-            conn.close()
+            conn.close("the process ends")
