A list answer that was cut off leaves its update in doubt: nothing is sent past the grace

Cause: what the list service writes counts as told, but an answer that ended in the middle was taken for a call that had failed, and the old list went on. Change: the call reports when an update begins to arrive, arrives, or is cut off (discovery.py); indoubt.py decides; Balancer._may_go and the last look before a write (Peer._may_begin) hold requests back from 0.3 s after its first byte until as much has been told, at most four times the time for asking; a call goes out at once, spread over 0.15 s. Related: a half line at the end of a watch, a silent half line, a move over one, an answer unread in its socket when a timer ends its call.

--- a/ospreyline/asking.py
+++ b/ospreyline/asking.py
@@ -9,6 +9,7 @@
 PART, OPENING = 0.4, 0.3  # a period, a first wait: of the time without a call after which all counts as told
 FIRST, FIRST_EACH = 500.0, 10.0  # ms over which a bank's first calls are spread, and more for each balancer
 AGAIN, SPREAD = 250.0, 0.4  # ms until a watch that spoke is asked for again; of a period, spread over
+SOON, SOON_EACH = 150.0, 2.0  # ms over which calls after broken answers are spread, and for each balancer
 SECOND, SECOND_SPREAD = 0.25, 0.3  # of a period, until the second call in a row, and spread over so much more
 
 
@@ -24,6 +25,7 @@
         """`place`: from 0 to 1, where in each span of time shared with the others this balancer calls."""
         self.place, self.due, self.failures = place, inf, 0  # failures: in a row
         self.period = self._spread = self._opening = LEAST
+        self._soon = SOON
         self._second, self._second_spread = SECOND, SECOND_SPREAD
         self._began, self._told = -inf, False  # the latest call; since then
 
@@ -31,6 +33,7 @@
         """Figures of the start or of a reload: the size of the bank, and ms."""
         self.period = period_of(balancers, must_ask_in)
         self._spread = SPREAD * self.period
+        self._soon = min(SOON, SOON_EACH * balancers)
         self._opening = min(OPENING * must_ask_in, FIRST + FIRST_EACH * balancers, self.period)
 
     def begin(self, now: float, asks: bool) -> None:
@@ -60,3 +63,7 @@
             # guards: one answer that broke off would cost a whole period
             second = self._began + (self._second + self._second_spread * self.place) * self.period
             self.due = min(self.due, max(now + AGAIN, second))
+
+    def cut_off(self, now: float) -> None:
+        """A part of an answer had come: the rest is wanted within the grace of a drain."""
+        self.due = min(self.due, now + self.place * self._soon)
--- a/ospreyline/decide.py
+++ b/ospreyline/decide.py
@@ -20,6 +20,7 @@
 
 from ospreyline.asking import Asking
 from ospreyline.host import Deployment, End, Host, Kind, Listed, Readiness, Scope
+from ospreyline.indoubt import InDoubt
 from ospreyline.state import Fetch, Lane, Visit
 
 FACTOR = 1.4  # overprovisioning factor of a level's health
@@ -176,6 +177,7 @@
         self._rests: deque[Fetch] = deque(maxlen=99)  # the latest: long and short rests are compared
         self._places = self._probes_due = 0.0  # places: upstreams that we would use, were all healthy
         self._asking = Asking(self._random())  # when to ask for the list
+        self.in_doubt = InDoubt()  # what the list service may have told besides
         self._upstreams: dict[int, Upstream] = {}
         self._ring: list[Upstream] = []  # in an order that is the same at every balancer
         self._ready: list[Upstream] = []
@@ -218,6 +220,7 @@
         fields = terms.report_fields
         self._load_field = next((fields.index(f) for f in ("in-flight", "queue", "util") if f in fields), -1)
         self._asking.fit(terms.balancers, terms.must_ask_in)
+        self.in_doubt.fit(terms.drain_grace, terms.must_ask_in)
         if not again or old.ask_for_list != terms.ask_for_list:
             self._asking.begin(now, terms.ask_for_list)
         self._place_in_ring = terms.number * GOLDEN % 1  # spread evenly, whichever numbers a zone has
@@ -280,9 +283,15 @@
             self._ring = sorted(self._upstreams.values(), key=lambda u: u.mark * MIX & MASK)
         self._rank(now)
 
-    def told_nothing(self, now: float) -> None:
-        """A call for the list failed or the subscription broke: the old list stands, we ask again."""
+    def told_nothing(self, now: float, cut_off: bool = False) -> None:
+        """A call for the list failed or the subscription broke: the old list stands, we ask again.
+
+        `cut_off`: a part of an answer had come.
+        """
         self._asking.failed(now)
+        if cut_off and self._terms.ask_for_list:
+            self._asking.cut_off(now)
+            self._host.wake(self._asking.due, self._ask)
 
     def asked(self, now: float) -> None:
         """The front has called by itself, elsewhere: what went before is over."""
@@ -431,8 +440,8 @@
         # no visit lost: nothing after its end, and nothing that its client would not wait for
         if visit.done or now >= visit.expires or len(visit.fetches) >= self._terms.max_fetches:
             return False
-        # drains kept: at once when told. Deemed told never comes up: see _beat
-        if not u.ready:
+        # drains kept: at once when told, and by nobody while a part of what was told is missing
+        if not u.ready or self.in_doubt.withholds(now):
             return False
         # no effect twice
         if visit.out:
@@ -507,6 +516,8 @@
 
     def _place(self, visit: Visit, now: float) -> bool:
         """Send a visit: draw a level by share, take the lower-scored of two inside."""
+        if self.in_doubt.withholds(now):
+            return False
         if self._due and visit.lane.kind in self._trial_kinds and not visit.fetches:
             for due in self._due:
                 if not due.trial_out and now >= due.trial_at and self._send(visit, due, now, trial=True):
@@ -606,7 +617,9 @@
         # guards: one that has just started has seen nothing delivered; what is out tells when room comes
         flow = self._flow or sum(1e3 * level.out / level.latency for level in self._levels)
         wait = 1e3 * ahead / flow if flow else inf
-        if not self._ready or now + wait > self._hold_until(visit):
+        # guards: a service that has not told the rest by now is crowded or down; another balancer may know
+        no_list = not self._ready or self.in_doubt.withholds(now)
+        if no_list or now + wait > self._hold_until(visit):
             return self._give_up(visit, now)
         visit.held = True
         self._held += 1
@@ -702,11 +715,15 @@
                 level.latency += BEAT / FORGET * (usual - level.latency)
                 level.kept += BEAT / FORGET * (1 - level.kept)
         self._rank(now)
+        self._ask(now)
+        if self._terms.may_probe:
+            self._probe(now)
+
+    def _ask(self, now: float) -> None:
+        """Call the list service, if a call is due."""
         if now >= self._asking.due:
             self._asking.called(now)
             self._host.watch(True)
-        if self._terms.may_probe:
-            self._probe(now)
 
     def _count(self, now: float) -> None:
         """Once a second: rates, and the capacity that warm upstreams are seen to have."""
--- a/ospreyline/facts.py
+++ b/ospreyline/facts.py
@@ -89,6 +89,7 @@
 
 class _Invariants(_Wire):
     cold_from: float = 0.1
+    drain_grace_us: float = 5e5
     must_ask_in_us: float = 1e7
     overload_factor: float = 2.0
     tip_after_us: float = 2e6
@@ -279,6 +280,8 @@
         raise FactError(f"{root}Goal.FullAtNines: {goal.full_at_nines} is not over 0")
     if not rules.must_ask_in_us > 0:
         raise FactError(f"{root}Invariants.MustAskInUs: {rules.must_ask_in_us} is no time")
+    if not rules.drain_grace_us >= 0:
+        raise FactError(f"{root}Invariants.DrainGraceUs: {rules.drain_grace_us} is no time")
     if facts.discovery not in ("ask", "push"):
         raise FactError(f"{root}Discovery: unknown {facts.discovery!r}, 'ask' or 'push' is")
     if facts.balancers < 1 or facts.caps.most_backend_fetches < 1:
@@ -319,6 +322,7 @@
         max_retry_after=caps.max_retry_after_us / 1e3 if caps.retry_after else 0.0,
         ask_for_list=facts.discovery == "ask",
         must_ask_in=rules.must_ask_in_us / 1e3,
+        drain_grace=rules.drain_grace_us / 1e3,
         cold_from=rules.cold_from,
         warm_within=rules.warm_within_us / 1e3,
         overload_factor=rules.overload_factor,
--- a/ospreyline/host.py
+++ b/ospreyline/host.py
@@ -94,6 +94,7 @@
     max_retry_after: float = 0.0  # 0: clients are given no advice
     ask_for_list: bool = True  # the list comes only when asked for
     must_ask_in: float = 10_000.0
+    drain_grace: float = 500.0  # in which sends to an upstream must end once its drain was told
     cold_from: float = 0.1
     warm_within: float = 30_000.0
     overload_factor: float = 2.0
--- a/ospreyline/net/discovery.py
+++ b/ospreyline/net/discovery.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import re
+import select
 from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass
@@ -18,6 +19,7 @@
 import msgspec
 
 from ospreyline import facts
+from ospreyline.net.upstreams import unread
 
 # s without a whole line after which a watch is dead: an empty one is due every 2 s, and what is missed counts
 # as told 6 s after the last, which has to be enough for a call that is turned away and another
@@ -53,6 +55,48 @@
     targets: list[tuple[Target, tuple[str, int] | None]]
 
 
+@dataclass(slots=True, frozen=True)
+class Arriving:
+    """The first bytes of an update have come on a call, and not the rest."""
+
+    call: int
+
+
+@dataclass(slots=True, frozen=True)
+class Arrived:
+    """An update has come whole; `whole`: it is the whole list."""
+
+    call: int
+    version: int
+    whole: bool
+
+
+@dataclass(slots=True, frozen=True)
+class CutOff:
+    """A call ended in the middle of an answer; `version`: of the update, 0 if it had not come."""
+
+    call: int
+    version: int
+
+
+@dataclass(slots=True, frozen=True)
+class Replaced:
+    """We ended a call, since another has brought as much."""
+
+    call: int
+
+
+Progress = Arriving | Arrived | CutOff | Replaced
+
+
+@dataclass(slots=True, frozen=True)
+class CallFailure:
+    """The last call that was out has failed."""
+
+    retry_after: float = 0.0  # ms; as the service told it
+    cut_off: bool = False  # an answer had begun to arrive, on this call or on one beside it
+
+
 class Log(Protocol):
     def info(self, event: str, **values: Any) -> Any: ...
     def warning(self, event: str, **values: Any) -> Any: ...
@@ -62,6 +106,9 @@
 _TARGET = msgspec.json.Decoder(Target, strict=False)
 
 
+_VERSION = re.compile(rb'"rev"\s*:\s*(\d+)')
+
+
 def _open_brackets(line: bytes) -> int:
     """How many more brackets a line of JSON opens than it closes."""
     bare = _TEXT.sub(b"", line)
@@ -109,6 +156,8 @@
         self._rest = bytearray()
         self._object: list[bytes] = []  # the lines of one that is spread over several, so far
         self._brackets = self._size = 0  # of those lines: how many are open, bytes
+        self.arriving = False  # an update, and it was told so
+        self.cut_off = False  # it ended in the middle of an answer
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
@@ -124,6 +173,11 @@
         """Whether it has told nothing for too long. Of a watch bytes are nothing: half a line may stay so."""
         return now - self.heard > QUIET or (not self.watching and now - self.since > MOST_CALL)
 
+    def unread(self) -> bool:
+        """Whether something lies in its socket that the loop has not read yet."""
+        return (self.transport is not None and not self.transport.is_closing()
+                and unread(self.transport, select.POLLIN))
+
     def data_received(self, data: bytes) -> None:
         self.bytes += len(data)
         if not self.watching:
@@ -131,7 +185,19 @@
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
-            self.stop(f"malformed: {error}")
+            self.stop(f"malformed: {error}", cut_off=self._parser.get_status_code() == 200)
+        if not self.over and not self.arriving and self.unfinished():
+            self.arriving = True
+            self.owner.progress(Arriving(self.number))
+
+    def unfinished(self) -> bool:
+        """Whether a part of an update has come, and not the rest."""
+        return bool(self._object or self._rest.strip())
+
+    def version(self) -> int:
+        """Of the update that is unfinished; 0 if it has not come, or stands behind what has."""
+        found = _VERSION.search(b"".join([*self._object, self._rest]))
+        return int(found[1]) if found else 0
 
     def on_header(self, name: bytes, value: bytes) -> None:
         if name.lower() == b"retry-after":
@@ -152,27 +218,42 @@
                 if not self.over:
                     self._line(bytes(line))
         if len(self._rest) + self._size > MOST_LINE:
-            self.stop("a line without an end")
+            self.stop("a line without an end", cut_off=True)
 
     def on_message_complete(self) -> None:
-        if self._rest.strip() and not self.over:
-            self._told(b"\n".join([*self._object, bytes(self._rest)]))
+        if self.unfinished() and not self.over:
+            # guards: a watch that ends behind half a line has told half of an update
+            self._last_text("the watch has ended" if self.watching else "")
         # guards: a call that told nothing would count as answered, and its list as had
         self.stop("the watch has ended" if self.watching else "" if self.spoken else "no list came")
 
     def eof_received(self) -> bool:
         if not self.watching and self._parser.get_status_code() == 200:
-            self.on_message_complete()  # a list without a length lasts until the end; half of one is no JSON
+            # a list without a length lasts until the end; half of one is no JSON
+            if self.unfinished() and not self.over:
+                self._last_text("connection closed")
+                self._rest.clear()
+            self.on_message_complete()
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self.stop(str(exc or "connection closed"))
+        why = str(exc or "connection closed")
+        if self.unfinished() and not self.over:
+            self._last_text(why)
+        # guards: what was written behind the head can be lost with a reset; before an end it would have come
+        began = exc is not None and not self.spoken and self._parser.get_status_code() == 200
+        self.stop(why, cut_off=began)
+
+    def _last_text(self, cut_off_by: str) -> None:
+        """What came behind the last whole line: an update without its line's end, or a part of one."""
+        self._told(b"\n".join([*self._object, bytes(self._rest)]), cut_off_by)
 
     def _line(self, line: bytes) -> None:
         """A whole line of a watch: an object, a part of an indented one, or nothing."""
         if not line.strip():
             if self._object:
-                self.stop("unreadable line")  # guards: an object that was cut off would swallow what follows
+                # guards: an object that was cut off would swallow what follows
+                self.stop("unreadable line", cut_off=True)
             else:
                 self.heard = self.owner.loop.time()
                 self.owner.told(self, None)
@@ -185,8 +266,10 @@
             self._object, self._brackets, self._size = [], 0, 0
             self._told(text)
 
-    def _told(self, text: bytes) -> None:
+    def _told(self, text: bytes, cut_off_by: str = "") -> None:
+        """An update; `cut_off_by`: why its rest may be missing, "" where all that was written has come."""
         if (news := read(text, self.owner.log)) is not None:
+            self._object, self._brackets, self._size, self.arriving = [], 0, 0, False
             self.heard = self.owner.loop.time()
             self.objects += 1
             self.owner.log.info("list received", call=self.number, rev=news.rev, whole=news.whole,
@@ -194,14 +277,14 @@
             self.owner.told(self, news)
         else:
             # guards: a lost change would be news never told; asking again brings it
-            self.stop("unreadable line")
+            self.stop(cut_off_by or "unreadable line", cut_off=bool(cut_off_by))
 
-    def stop(self, why: str) -> None:
-        """The call is over; a reason says that it failed."""
+    def stop(self, why: str, cut_off: bool = False) -> None:
+        """The call is over; a reason says that it failed. `cut_off`: in the middle of an answer."""
         if self.over:
             return
         self.over = True
-        self.why = why or "answered"
+        self.why, self.cut_off = why or "answered", cut_off
         if self.transport is not None:
             self.transport.abort()
         self.owner.ended(self, why)
@@ -211,13 +294,16 @@
     """Calls to discovery: at most one watch, and calls for the whole list."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, at: tuple[str, int], rev: int, log: Log,
-                 tell: Callable[[News], None], tell_failed: Callable[[float], None]) -> None:
+                 tell: Callable[[News], None], tell_failed: Callable[[CallFailure], None],
+                 tell_progress: Callable[[Progress], None] = lambda progress: None) -> None:
         self.loop = loop
         self.at = at
         self.rev = rev
         self.log = log
         self._tell = tell
         self._tell_failed = tell_failed
+        self.progress = tell_progress
+        self._cut_off = False  # a call was, since the last that failed or told something
         self._calls: dict[_Call, asyncio.Task[None]] = {}
         self._watch: _Call | None = None
         self.begun = 0  # calls so far
@@ -232,6 +318,8 @@
         """Discovery is elsewhere now. Nothing that is told meanwhile may be lost."""
         former = self._former or self._replaced or self._watch
         for call in [c for c in self._calls if c is not former]:
+            if call.unfinished():
+                self._cut(call)
             self._drop(call)
         self.at, self._former, self._watch, self._replaced, self._unspoken = at, former, None, None, None
         self._moved = self._whole_due = True
@@ -282,8 +370,15 @@
         except OSError as error:
             call.stop(str(error))
 
+    def _cut(self, call: _Call) -> None:
+        """A call ends in the middle of an answer. Guards: what was written counts as told, come or not."""
+        self._cut_off = True
+        self.progress(CutOff(call.number, call.version()))
+
     def _drop(self, call: _Call) -> None:
         call.over = True
+        if call.arriving:
+            self.progress(Replaced(call.number))
         if (task := self._calls.pop(call, None)) is not None:
             task.cancel()
             self.log.info("list call ended", call=call.number, watch=call.watching, why=call.why,
@@ -300,7 +395,12 @@
 
     def told(self, call: _Call, news: News | None) -> None:
         """A line has come; an empty one (None) says that nothing has changed."""
-        call.spoken = True
+        self._take(call, news)
+        version = self.rev if news is None else news.rev
+        self.progress(Arrived(call.number, version, news is not None and (news.whole or not call.watching)))
+
+    def _take(self, call: _Call, news: News | None) -> None:
+        call.spoken, self._cut_off = True, False
         if call is self._former:
             if news is not None:
                 self._tell(news)
@@ -351,6 +451,8 @@
             self.refresh()  # guards: who is gone need not be among the changes
 
     def ended(self, call: _Call, why: str) -> None:
+        if call.cut_off:
+            self._cut(call)
         self._drop(call)
         if call is self._former:
             self._former = None  # guards: its end says nothing of the new address
@@ -371,13 +473,15 @@
         if why:
             self.log.warning("call to discovery failed", why=why, watch=call.watching)
             if not beside:
-                self._tell_failed(call.retry_after)
+                cut_off, self._cut_off = self._cut_off, False
+                self._tell_failed(CallFailure(call.retry_after, cut_off))
 
     def tidy(self) -> None:
         """End calls that have fallen silent. Guards: a discovery that was cut off says nothing."""
         for call in list(self._calls):
-            if call.silent(self.loop.time()):
-                call.stop("silent")
+            # guards: timers come before sockets, and what lies unread there counts as told
+            if call.silent(self.loop.time()) and not call.unread():
+                call.stop("silent", cut_off=call.unfinished())
         plain = [call for call in self._calls if not call.watching]
         if plain and self._whole_due and self.loop.time() - plain[-1].since > self.again:
             # guards: one that trickles keeps the others waiting; it is let be, for what it tells may be all
--- a/ospreyline/net/turn.py
+++ b/ospreyline/net/turn.py
@@ -25,7 +25,17 @@
 from ospreyline.host import End, Kind, Listed, PathPrefix, Readiness
 from ospreyline.net import discovery
 from ospreyline.net.clients import Client, Request
-from ospreyline.net.discovery import Discovery, News, Target
+from ospreyline.net.discovery import (
+    Arrived,
+    Arriving,
+    CallFailure,
+    CutOff,
+    Discovery,
+    News,
+    Progress,
+    Replaced,
+    Target,
+)
 from ospreyline.net.events import EventLog
 from ospreyline.net.upstreams import Answer, Cut, Errand, Stage, Upstreams, Why, end_of, load_report
 from ospreyline.state import Visit
@@ -41,6 +51,7 @@
 LATE = 20.0  # ms that a timer is late, from which on sockets are read before what is due is decided
 STOOD = 600.0  # ms without a turn that mean that this process was stopped: three times the decisions' beat
 SETTLED = 100.0  # ms after which what waited in sockets meanwhile has been read
+SAID = 100.0  # ms that an update has to be in doubt for its end to be logged
 FORGET = 60_000.0  # ms after which one that the list took away is forgotten
 AGAIN, MOST_AGAIN = 25.0, 250.0  # ms until a pushed list's watch is opened anew: at first, and at the most
 FLEET = 64  # descriptors for links to other balancers, where they are on
@@ -127,10 +138,12 @@
         known = discovery.read(kept, self.logger)
         self.discovery = Discovery(loop, post.discovery, known.rev if known else 0, self.logger,
                                    tell=lambda news: self.note(self._told, news),
-                                   tell_failed=lambda wait: self.note(self._told_nothing, wait))
+                                   tell_failed=lambda failure: self.note(self._told_nothing, failure),
+                                   tell_progress=lambda progress: self.note(self._progress, progress))
         self._fit()
         now = clock()
         self.balancer = Balancer(self, post.terms, post.seed, now)
+        self.upstreams.withheld = lambda: self.balancer.in_doubt.withholds(clock())
         self.balancer.told_all(now, self._lines(known) if known else [])
         if self.bank is not None and known is not None:
             self.bank.begin(known.rev, [(t.uid, t.state == "left", json.encode(t)) for t, _ in known.targets])
@@ -545,10 +558,30 @@
             self._pace.wanted(now)
             self._plan()
 
-    def _told_nothing(self, now: float, retry_after: float) -> None:
+    def _progress(self, now: float, progress: Progress) -> None:
+        """How far an update of the list has come: while one is in doubt the decisions hold requests back."""
+        in_doubt = self.balancer.in_doubt
+        since = in_doubt.since
+        match progress:
+            case Arriving(call):
+                in_doubt.arriving(now, call)
+            case Arrived(call, version, whole):
+                in_doubt.arrived(call, version, whole)
+            case CutOff(call, version):
+                in_doubt.cut_off(now, call, version)
+                self.logger.warning("list update in doubt", call=call, rev=version or None,
+                                    since_ms=round(now - in_doubt.since))
+            case Replaced(call):
+                in_doubt.replaced(call)
+        if in_doubt.since == inf and now - since >= SAID:
+            self.logger.info("list update no longer in doubt", ms=round(now - since))
+
+    def _told_nothing(self, now: float, failure: CallFailure) -> None:
         told = self.bank is not None and self.bank.told_nothing()
         if self._pace is not None:
-            self._pace.failed(now, retry_after, told)
+            self._pace.failed(now, failure.retry_after, told)
+            if failure.cut_off:
+                self._pace.cut_off(now)
             self._plan()
         elif not self._post.terms.ask_for_list:
             # guards: each change of a pushed list counts as told though no watch is open. To the decisions it
@@ -557,7 +590,7 @@
             self.wake(now + self._again * (0.5 + self._draw()), self._watch_again)
             self._again = min(2 * self._again, MOST_AGAIN)
             return
-        self.balancer.told_nothing(now)
+        self.balancer.told_nothing(now, failure.cut_off)
 
     def _watch_again(self, now: float) -> None:
         if not self._post.terms.ask_for_list and not self.discovery.watching:
@@ -713,6 +746,8 @@
     def _log_refusal(self, event: str, taken: Taken) -> None:
         """Say why a request gets an answer that no upstream gave."""
         why = "its attempts failed" if taken.ends else "no upstream has room for it in time"
+        if self.balancer.in_doubt.withholds(self._turned):
+            why = "an update of the list is in doubt"
         self.events.line(event, id=taken.request.trace.decode("latin-1"), prefix=taken.terms.name, why=why,
                          attempts=taken.ends)
 
--- a/ospreyline/net/upstreams.py
+++ b/ospreyline/net/upstreams.py
@@ -123,6 +123,10 @@
     return True
 
 
+def _never() -> bool:
+    return False
+
+
 class Errand:
     """One request to an upstream, until it has ended."""
 
@@ -386,7 +390,8 @@
         # process; the client can have left meanwhile, its time can be over, and so can the one in which its
         # repeat is known for one. No upstream is to blame for that
         now = self.pool.clock()
-        if now < errand.begin_by and errand.expires - now >= LEAST and errand.wanted():
+        if (now < errand.begin_by and errand.expires - now >= LEAST and errand.wanted()
+                and not self.pool.withheld()):
             return True
         errand.cut(Why.WITHDRAWN)
         return False
@@ -481,6 +486,7 @@
         self.events = events
         self.held = 0  # bytes of answers that are not yet whole
         self.adopt(connect_time_out, keep_idle)
+        self.withheld: Callable[[], bool] = _never  # whether nothing may begin at any upstream now
         self.peers: dict[int, Peer] = {}
         self._added = -1
         self.open: dict[Conn, None] = {}
--- /dev/null
+++ b/tests/test_indoubt.py
@@ -0,0 +1,106 @@
+"""Updates of the list in doubt: what begins a doubt, what ends it, and for how long requests are withheld."""
+
+from __future__ import annotations
+
+from itertools import permutations
+
+import pytest
+from stand_ins import FakeHost, listed
+
+from ospreyline.host import End
+from ospreyline.indoubt import HELD_UP, InDoubt
+
+GRACE = 500.0
+ASKING = 10_000.0
+
+
+def doubt() -> InDoubt:
+    found = InDoubt()
+    found.fit(GRACE, ASKING)
+    return found
+
+
+def test_an_answer_that_arrives_slowly_withholds_within_the_grace_and_until_it_is_whole():
+    found = doubt()
+    found.arriving(1_000.0, call=1)
+    found.arriving(1_200.0, call=1)  # the first bytes count
+    assert not found.withholds(1_000.0 + GRACE - HELD_UP - 1)
+    assert found.withholds(1_000.0 + GRACE - HELD_UP)
+    found.arrived(1, version=4, whole=False)
+    assert not found.withholds(9_000.0)
+
+
+def test_what_was_cut_off_counts_from_its_first_byte():
+    found = doubt()
+    found.arriving(1_000.0, call=1)
+    found.cut_off(1_290.0, call=1, version=4)
+    assert found.withholds(1_300.0)
+
+
+@pytest.mark.parametrize("version, whole, settled", [
+    (3, False, False), (4, False, True), (5, False, True), (3, True, True)])
+def test_a_doubt_is_over_with_as_much_news_or_the_whole_list(version, whole, settled):
+    found = doubt()
+    found.cut_off(1_000.0, call=1, version=4)
+    found.arrived(2, version, whole)
+    assert found.withholds(2_000.0) is not settled
+
+
+def test_one_answer_ends_no_doubt_about_another_that_is_still_arriving():
+    found = doubt()
+    found.arriving(1_000.0, call=1)
+    found.arriving(1_100.0, call=2)
+    found.arrived(2, version=4, whole=True)
+    assert found.withholds(1_400.0)
+    found.replaced(1)  # the other one stands, and tells whatever this one would have
+    assert not found.withholds(1_400.0)
+
+
+def test_in_any_order_a_doubt_holds_as_long_as_something_is_missing():
+    steps = {
+        "arriving": lambda found, at: found.arriving(at, 1),
+        "cut": lambda found, at: found.cut_off(at, 2, 0),
+        "whole": lambda found, at: found.arrived(3, 9, True),
+        "rest": lambda found, at: found.arrived(1, 9, False)}
+    for order in permutations(steps):
+        found = doubt()
+        for at, name in enumerate(order):
+            steps[name](found, float(at))
+        ends = {"whole", "rest"}  # each has as much as what was cut off
+        cut_open = not ends & set(order[order.index("cut") + 1:])
+        arriving_open = order.index("rest") < order.index("arriving")
+        assert found.withholds(5_000.0) is (cut_open or arriving_open), order
+
+
+def test_a_service_that_died_in_the_middle_of_an_answer_keeps_nothing_out_for_good():
+    # four times the time for asking: for so long a list may be used after a failed call
+    found = doubt()
+    found.cut_off(0.0, call=1, version=4)
+    assert found.withholds(4 * ASKING - 1) and not found.withholds(4 * ASKING)
+
+
+def test_the_decisions_send_nothing_while_an_update_is_in_doubt_and_go_on_after_it():
+    host = FakeHost([listed(0), listed(1)])
+    host.balancer.in_doubt.cut_off(host.now, 1, 4)
+    host.pass_time(GRACE - HELD_UP + 1)
+    visits = [host.take() for _ in range(3)]
+    assert not host.sends and all(visit.tag in host.bounced for visit in visits)  # another may know
+    host.balancer.in_doubt.arrived(2, 4, False)
+    assert host.take().out and len(host.sends) == 1
+
+
+def test_an_attempt_that_never_ran_is_not_repeated_while_an_update_is_in_doubt():
+    host = FakeHost([listed(0), listed(1)])
+    visit = host.take()
+    host.balancer.in_doubt.cut_off(host.now, 1, 4)
+    host.end(visit, End.UNREACHED, GRACE)
+    assert len(host.sends) == 1 and visit.tag in host.bounced
+
+
+def test_a_call_goes_out_soon_after_an_answer_that_was_cut_off():
+    host = FakeHost([listed(0)], ask_for_list=True, balancers=200)
+    host.pass_time(5_000.0)
+    began = len(host.watches)
+    host.balancer.told_nothing(host.now, cut_off=True)
+    host.pass_time(151.0)
+    assert len(host.watches) == began + 1
--- a/tests/test_list_answers.py
+++ b/tests/test_list_answers.py
@@ -68,9 +68,8 @@
 class Call:
     """One call that came to the list service."""
 
-    def __init__(self, head: bytes, writer: asyncio.StreamWriter) -> None:
-        self.came = time.monotonic()
-        self.balancer = writer.get_extra_info("peername")[0]
+    def __init__(self, balancer: int, writer: asyncio.StreamWriter) -> None:
+        self.balancer = balancer
         self.writer = writer
         self.open = True
 
@@ -83,10 +82,10 @@
 
 
 class ListService:
-    """The list service: `serve` decides what becomes of each call."""
+    """The list service at the address of one balancer: `serve` decides what becomes of each call."""
 
-    def __init__(self, serve: Callable[[Call], Any]) -> None:
-        self.serve = serve
+    def __init__(self, balancer: int, serve: Callable[[Call], Any]) -> None:
+        self.balancer, self.serve = balancer, serve
         self.calls: list[Call] = []
         self.port = 0
 
@@ -98,8 +97,8 @@
     async def _call(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         call = None
         with suppress(asyncio.IncompleteReadError, ConnectionError):
-            head, _ = await read_message(reader)
-            call = Call(head, writer)
+            await read_message(reader)
+            call = Call(self.balancer, writer)
             self.calls.append(call)
             found = self.serve(call)
             if found is not None:
@@ -165,19 +164,19 @@
     """Processes with clients, two servers and a list service; whatever fails, their logs are printed."""
 
     def __init__(self, serve: Callable[[Call], Any], folder: Path, processes: int = PROCESSES) -> None:
-        self.service = ListService(serve)
-        self.folder, self.processes = folder, processes
+        self.services = [ListService(number, serve) for number in range(processes)]
+        self.folder = folder
         self.draining, self.staying = Server(b"draining"), Server(b"staying")
         self.running: list[Running] = []
         self.loads: list[Load] = []
         self.stack = AsyncExitStack()
 
     async def __aenter__(self) -> Story:
-        for peer in (self.draining, self.staying, self.service):
+        for peer in (self.draining, self.staying, *self.services):
             await peer.start()
         self.known = [target("u0", self.draining.port), target("u1", self.staying.port)]
-        for number in range(self.processes):
-            one = process(self.folder, number, self.known, self.service)
+        for number, service in enumerate(self.services):
+            one = process(self.folder, number, self.known, service)
             self.running.append(await self.stack.enter_async_context(one))
         self.loads = [Load(one) for one in self.running]
         return self
@@ -186,7 +185,8 @@
         for load in self.loads:
             load.task.cancel()
         await self.stack.aclose()
-        self.service.close()
+        for service in self.services:
+            service.close()
         for peer in (self.draining, self.staying):
             peer.server.close()
         if error is not None:
@@ -236,15 +236,15 @@
 def test_nothing_goes_to_a_server_whose_drain_was_in_an_answer_that_was_cut_off(cut, tmp_path):
     async def story():
         words, part, then = CUTS[cut]
-        told: dict[int, float] = {}  # by number of the call: when its broken answer was written
+        told: dict[int, float] = {}  # by balancer: when its broken answer was written
         draining = False
 
         async def serve(call: Call) -> None:
             if not draining:
                 call.write(HEAD + chunk(call.list(3, day.known)))
                 standing.append(call)
-            elif len(told) < PROCESSES:
-                told[len(told)] = time.monotonic()
+            elif call.balancer not in told:
+                told[call.balancer] = time.monotonic()
                 line = words(day, call)
                 call.write(HEAD + b"%x\r\n" % len(line) + line[:max(1, int(part * len(line)))])
                 await call.writer.drain()
@@ -253,14 +253,15 @@
                     call.writer.transport.abort()
                 elif then == "end":
                     call.writer.close()
-            elif time.monotonic() < max(told.values()) + CROWDED:
+            elif len(told) < PROCESSES or time.monotonic() < max(told.values()) + CROWDED:
                 await asyncio.sleep(TURNED_AWAY_AFTER)
                 call.write(BUSY)
             else:
                 call.write(HEAD + chunk(call.list(4, day.known[1:])))
 
         standing: list[Call] = []
-        async with Story(serve, tmp_path) as day:
+        day = Story(serve, tmp_path)
+        async with day:
             await day.holds(lambda: len(standing) == PROCESSES and day.all_served_by(b"draining", 0.0))
             draining = True
             for call in standing:  # a watch may end instead of telling
@@ -298,7 +299,8 @@
             call.write(HEAD + chunk(call.list(4, day.known[1:])))
 
         standing: list[Call] = []
-        async with Story(serve, tmp_path) as day:
+        day = Story(serve, tmp_path)
+        async with day:
             await day.holds(lambda: len(standing) == PROCESSES and day.all_served_by(b"draining", 0.0))
             changed = time.monotonic()
             for call in standing:
@@ -340,7 +342,8 @@
             call.write(HEAD + chunk(call.list(4, day.known[1:])))
 
         standing: list[Call] = []
-        async with Story(serve, tmp_path, processes) as day:
+        day = Story(serve, tmp_path, processes)
+        async with day:
             await day.holds(lambda: len(standing) == processes and day.all_served_by(b"draining", 0.0))
             changed = time.monotonic()
             for call in standing:
--- a/tests/test_told.py
+++ b/tests/test_told.py
@@ -33,7 +33,7 @@
 from ospreyline.fleet.lists import Lists
 from ospreyline.fleet.pace import Pace
 from ospreyline.net import service as service_module
-from ospreyline.net.discovery import Discovery, News, Target, _Call
+from ospreyline.net.discovery import CallFailure, Discovery, News, Target, _Call
 
 TOLD = 6_000.0  # ms
 QUEUE = 1_000.0  # ms that a call waits in a queue before it is turned away
@@ -123,9 +123,9 @@
         if self.now > self.reached and own and news.targets:  # and the watch stands
             self.told_at = min(self.told_at, self.now)
 
-    def _failed(self, retry_after: float) -> None:
+    def _failed(self, failure: CallFailure) -> None:
         if self.pace is not None:
-            self.pace.failed(self.now, retry_after)
+            self.pace.failed(self.now, failure.retry_after)
             self._plan()
         self.balancer.told_nothing(self.now)
 
