Call the list service once at a time, keep the place in its queue, back off when turned away

Cause: each balancer made a call beside the one that waited (1.4 s, under the 2 s that a crowded service lets calls wait), another soon after a 503, and gave calls up after 2.5 s of silence. The service works all of them off, so calls that came to their turn had been turned away before: 60 balancers were told nothing for 12 s. Change: a call waits up to 6 s for its first byte, the next is made beside it after 2.2 s; after a 503 calls are 1.4, 2.2, 3.3, 4.2 s apart, spread.

--- a/ospreyline/asking.py
+++ b/ospreyline/asking.py
@@ -1,11 +1,17 @@
-"""When a balancer calls the list service: whatever became of the calls before, the next one begins a period
-after the one before it. So no chain of failures makes a wait longer, and a bank that lost its service asks
-evenly. One that says nothing gets another beside it. docs/crossings.md, "Told after 6 s", has the argument.
+"""When a balancer calls the list service.
+
+After a call that failed or a watch that ended the next call begins a period after the one before it. While a
+call waits for its answer no other is made for `MOST` ms: a crowded service works through all of them, also
+those whose caller is gone, and a bank that asks twice for everything keeps it crowded for good. A service
+that turns calls away has too many callers, so their times apart grow, up to `LONGEST`: what is told counts
+as told after 6 s at the latest. docs/crossings.md, "Told after 6 s", has the argument.
 """
 
 from math import inf
 
 LEAST, MOST, EACH = 1_400.0, 2_200.0, 7.0  # ms, a period, of it each balancer's: three calls, or two, in 6 s
+LONGEST, GROWTH = 4_200.0, 1.5  # ms between calls that are turned away, at the most; how fast that grows
+EARLIER, TURN = 0.3, 0.6180339887498949  # of that time, by which calls are spread; moves a place evenly
 PART, OPENING = 0.4, 0.3  # a period, a first wait: of the time without a call after which all counts as told
 FIRST, FIRST_EACH = 500.0, 10.0  # ms over which a bank's first calls are spread, and more for each balancer
 AGAIN, SPREAD = 250.0, 0.4  # ms until a watch that spoke is asked for again; of a period, spread over
@@ -24,8 +30,10 @@
     def __init__(self, place: float) -> None:
         """`place`: from 0 to 1, where in each span of time shared with the others this balancer calls."""
         self.place, self.due, self.failures = place, inf, 0  # failures: in a row
+        self._turned_away = 0  # of these, by a service that has too many callers
         self.period = self._spread = self._opening = LEAST
         self._soon = SOON
+        self._patience, self._longest = MOST, LONGEST
         self._second, self._second_spread = SECOND, SECOND_SPREAD
         self._began, self._told = -inf, False  # the latest call; since then
 
@@ -33,6 +41,8 @@
         """Figures of the start or of a reload: the size of the bank, and ms."""
         self.period = period_of(balancers, must_ask_in)
         self._spread = SPREAD * self.period
+        self._patience = max(self.period, min(MOST, PART * must_ask_in))
+        self._longest = max(self._patience, min(LONGEST, PART * must_ask_in))
         self._soon = min(SOON, SOON_EACH * balancers)
         self._opening = min(OPENING * must_ask_in, FIRST + FIRST_EACH * balancers, self.period)
 
@@ -43,27 +53,46 @@
 
     def called(self, now: float, anew: bool = False) -> None:
         """A call goes out; anew: to another service, so that what failed before says nothing."""
-        self.failures = 0 if anew else self.failures
+        if anew:
+            self.failures = self._turned_away = 0
         # guards: a call may connect and say nothing; the next one is made beside it, as if it had failed
-        self._began, self._told, self.due = now, False, now + self.period
+        self._began, self._told, self.due = now, False, now + self._patience
 
     def told(self) -> None:
         """The service has said something on it; a list that was known before any call is no answer."""
         if self._began > -inf:
-            self.due, self.failures, self._told = inf, 0, True
+            self.due, self._told = inf, True
+            self.failures = self._turned_away = 0
+
+    def failed(self, now: float, turned_away: bool = False) -> None:
+        """No call is out any more, the last one failed; or the watch has ended.
 
-    def failed(self, now: float) -> None:
-        """No call is out any more, the last one failed; or the watch has ended."""
+        `turned_away`: the service is there and answers, and has no time for this call.
+        """
         if self._told or self.due == inf:
             # guards: all watches of a service end at once
             self._told, self.due = False, now + AGAIN + self._spread * self.place
             return
         self.failures += 1
+        if turned_away:
+            self.due = max(now + AGAIN, self._began + self._apart())
+            return
+        self.due = min(self.due, max(now + AGAIN, self._began + self.period))
         if self.failures == 1:
             # guards: one answer that broke off would cost a whole period
             second = self._began + (self._second + self._second_spread * self.place) * self.period
             self.due = min(self.due, max(now + AGAIN, second))
 
+    def _apart(self) -> float:
+        """ms from a call that was turned away to the next one."""
+        self._turned_away += 1
+        if self._turned_away == 1:
+            return self.period
+        longest = min(self._longest, self._patience * GROWTH ** (self._turned_away - 2))
+        # guards: a bank that was turned away at once would come back at once
+        place = (self.place + TURN * self._turned_away) % 1
+        return max(self._patience, longest * (1 - EARLIER * place))
+
     def cut_off(self, now: float) -> None:
         """A part of an answer had come: the rest is wanted within the grace of a drain."""
         self.due = min(self.due, now + self.place * self._soon)
--- a/ospreyline/fleet/pace.py
+++ b/ospreyline/fleet/pace.py
@@ -36,6 +36,7 @@
         self._rarely = RARELY * must_ask_in
         self.fit(count, must_ask_in)
         self.period, self._spread = max(self.period, self.window), self.window
+        self._patience = self.period  # its place in the window is its own: the service has time then
 
     def start(self, now: float, later: float = 0.0) -> None:
         """The process has started; `later`: ms for which it can do without, since others tell it."""
--- a/ospreyline/net/discovery.py
+++ b/ospreyline/net/discovery.py
@@ -24,6 +24,8 @@
 # s without a whole line after which a watch is dead: an empty one is due every 2 s, and what is missed counts
 # as told 6 s after the last, which has to be enough for a call that is turned away and another
 QUIET = 2.5
+MOST_WAIT = 6.0  # s without a byte after which a call is given up; others are made beside it meanwhile
+MOST_WAITING = 3  # calls that wait for their first byte at a time
 MOST_CALL = 10.0  # s that a call for the whole list may take in all; others are made beside it meanwhile
 MOST_LINE = 8 << 20
 _TEXT = re.compile(rb'"(?:[^"\\]|\\.)*"')  # of JSON; it holds no line's end
@@ -95,6 +97,7 @@
 
     retry_after: float = 0.0  # ms; as the service told it
     cut_off: bool = False  # an answer had begun to arrive, on this call or on one beside it
+    turned_away: bool = False  # by a service that answers, and has too many callers
 
 
 class Log(Protocol):
@@ -157,7 +160,7 @@
         self._object: list[bytes] = []  # the lines of one that is spread over several, so far
         self._brackets = self._size = 0  # of those lines: how many are open, bytes
         self.arriving = False  # an update, and it was told so
-        self.cut_off = False  # it ended in the middle of an answer
+        self.cut_off = self.turned_away = False  # it ended in the middle of an answer; by a status
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
@@ -171,6 +174,9 @@
 
     def silent(self, now: float) -> bool:
         """Whether it has told nothing for too long. Of a watch bytes are nothing: half a line may stay so."""
+        if self.bytes == 0 and self.transport is not None and self.owner.patient:
+            # guards: a call that is given up loses its place in the service's queue
+            return now - self.since > MOST_WAIT
         return now - self.heard > QUIET or (not self.watching and now - self.since > MOST_CALL)
 
     def unread(self) -> bool:
@@ -206,6 +212,7 @@
 
     def on_headers_complete(self) -> None:
         if (status := self._parser.get_status_code()) != 200:
+            self.turned_away = True
             self.stop(f"status {status}")
 
     def on_body(self, body: bytes) -> None:
@@ -308,7 +315,9 @@
         self._watch: _Call | None = None
         self.begun = 0  # calls so far
         self.again = 1.4  # s after which a call for the whole list has another beside it
-        self._unspoken: _Call | None = None  # a watch before that has told nothing: who speaks first stays
+        self.patient = False  # the service may need seconds for an answer
+        # watches before, oldest first, that have told nothing yet: who speaks first stays
+        self._unspoken: list[_Call] = []
         self._replaced: _Call | None = None  # the watch before, heard until the new one has spoken
         self._former: _Call | None = None  # the watch at the address before, likewise
         self._moved = False  # and it has not yet
@@ -321,7 +330,7 @@
             if call.unfinished():
                 self._cut(call)
             self._drop(call)
-        self.at, self._former, self._watch, self._replaced, self._unspoken = at, former, None, None, None
+        self.at, self._former, self._watch, self._replaced, self._unspoken = at, former, None, None, []
         self._moved = self._whole_due = True
         self.rev = 0  # guards: the new service may count otherwise, so it is asked for all that it has
         self.watch(True)
@@ -340,17 +349,17 @@
         old, self._watch = self._watch, None
         if old is not None and on and old.spoken and self._replaced is None:
             self._replaced = old  # guards: until the new one has spoken nobody else tells what changes
-        elif old is not None and on and not old.spoken and self._unspoken is None:
-            self._unspoken = old  # guards: in a queue it stands before the new one
+        elif old is not None and on and not old.spoken and len(self._unspoken) < MOST_WAITING - 1:
+            self._unspoken.append(old)  # guards: in a queue it stands before the new one
         elif old is not None:
             self._drop(old)
         if on:
             self._watch = self._start(watching=True)
             return
-        for call in (self._replaced, self._unspoken):
+        for call in (self._replaced, *self._unspoken):
             if call is not None:
                 self._drop(call)
-        self._replaced = self._unspoken = None
+        self._replaced, self._unspoken = None, []
 
     def refresh(self) -> None:
         self._start(watching=False)
@@ -405,12 +414,11 @@
             if news is not None:
                 self._tell(news)
             return
-        if self._unspoken is not None and call in (self._unspoken, self._watch):
-            if call is self._unspoken:
-                self._watch, self._unspoken = call, self._watch
-            if self._unspoken is not None:
-                self._drop(self._unspoken)
-            self._unspoken = None
+        if self._unspoken and call in (*self._unspoken, self._watch):
+            for other in (*self._unspoken, self._watch):
+                if other is not None and other is not call:
+                    self._drop(other)
+            self._watch, self._unspoken = call, []
         if self._moved:
             self._moved = False
             former, self._former = self._former, None
@@ -460,10 +468,12 @@
         if call is self._replaced:
             self._replaced = None
             return
-        beside = call in (self._unspoken, self._watch) and self._unspoken is not None
-        if beside:  # the other one is out yet, and the next is planned from when the later one began
-            self._watch = self._watch if call is self._unspoken else self._unspoken
-            self._unspoken = None
+        beside = bool(self._unspoken) and call in (*self._unspoken, self._watch)
+        if beside:  # another one is out yet, and the next is planned from when the latest one began
+            if call is self._watch:
+                self._watch = self._unspoken.pop()
+            else:
+                self._unspoken.remove(call)
         elif call is self._watch:
             self._watch, self._replaced = self._replaced, None
         elif any(not c.watching for c in self._calls):
@@ -474,7 +484,7 @@
             self.log.warning("call to discovery failed", why=why, watch=call.watching)
             if not beside:
                 cut_off, self._cut_off = self._cut_off, False
-                self._tell_failed(CallFailure(call.retry_after, cut_off))
+                self._tell_failed(CallFailure(call.retry_after, cut_off, call.turned_away))
 
     def tidy(self) -> None:
         """End calls that have fallen silent. Guards: a discovery that was cut off says nothing."""
--- a/ospreyline/net/turn.py
+++ b/ospreyline/net/turn.py
@@ -201,6 +201,7 @@
     def _fit(self) -> None:
         terms = self._post.terms
         self.discovery.again = period_of(terms.balancers, terms.must_ask_in) / 1e3
+        self.discovery.patient = terms.ask_for_list or self._pace is not None
 
     def adopt(self, post: Post) -> None:
         """New settings, already checked: what came before is decided under the old ones, the rest by them."""
@@ -223,6 +224,7 @@
         """A new operator's file, already checked: what SIGHUP applies of it."""
         paced = self._pace is not None
         self._switch_on(operator)
+        self._fit()
         if self._pace is not None and not paced:
             # guards: a watch that stands is heard on; without one the first call takes its place
             self._pace.called(clock())
@@ -590,7 +592,7 @@
             self.wake(now + self._again * (0.5 + self._draw()), self._watch_again)
             self._again = min(2 * self._again, MOST_AGAIN)
             return
-        self.balancer.told_nothing(now, failure.cut_off)
+        self.balancer.told_nothing(now, failure.cut_off, failure.turned_away)
 
     def _watch_again(self, now: float) -> None:
         if not self._post.terms.ask_for_list and not self.discovery.watching:
