--- a/tests/test_lists.py
+++ b/tests/test_lists.py
@@ -285,3 +285,49 @@
             assert b"Host: 127.0.0.1:%d" % registry.port in registry.requests[1][0]
 
     play(story)
+
+
+def unreadable(entry):
+    """A change of u0 in a form that nobody can read, beside one that anybody can."""
+    return b'{"rev":41,"all":false,"targets":[%b]}\n' % entry
+
+
+def test_a_server_whose_entry_cannot_be_read_takes_nothing_new_until_it_can():
+    # the entry was passed over alone: a drain in it was never known, and requests went on to its server
+    async def story():
+        registry, peers = Registry(), (Peer(ok(b"0")), Peer(ok(b"1")))
+        async with running(*peers, registry=registry) as service:
+            await registry.tell(40)
+            entry = b'{"uid":"u0","endpoint":"127.0.0.1:%d","state":["leaving"]}' % peers[0].port
+            await registry.say(unreadable(entry))
+            while service.turn.discovery.rev != 41:
+                await asyncio.sleep(0)
+            client = await caller(service)
+            assert {(await client.ask(request()))[2] for _ in range(8)} == {b"1"}
+            await registry.tell(42, target("u0", peers[0].port))
+            await served_by(service, {b"0", b"1"})
+            assert len(registry.requests) == 1
+
+    play(story)
+
+
+@pytest.mark.parametrize("entry", [b"null", b'"u0"', b'{"state":"leaving"}', b'{"uid":[],"state":"leaving"}'])
+def test_an_entry_of_nobody_knows_whom_leaves_its_update_in_doubt_and_the_whole_list_is_asked_for(entry):
+    async def story():
+        registry, peers = Registry(), (Peer(ok(b"0")), Peer(ok(b"1")))
+        async with running(*peers, registry=registry) as service:
+            await registry.tell(40)
+            await registry.say(unreadable(entry))
+            while service.turn.balancer.in_doubt.since == inf:
+                await asyncio.sleep(0)
+            client = await caller(service)
+            await registry.until(lambda: len(registry.requests) > 1)
+            assert b"watch" not in registry.requests[1][0]
+            while not service.turn.balancer.in_doubt.withholds(clock()):
+                await asyncio.sleep(0.01)
+            assert (await client.ask(request()))[0] == 503
+            plain = registry.writers[1]
+            plain.write(chunk(listing(41, target("u1", peers[1].port), whole=True)) + END)
+            await served_by(service, {b"1"})
+
+    play(story)
