An entry of the list that cannot be read takes nothing new; without a name, all is asked for

Change: an entry whose uid can be read counts as draining until it can be read whole; one without leaves its update in doubt until the whole list has come, which is asked for at once.

--- a/ospreyline/indoubt.py
+++ b/ospreyline/indoubt.py
@@ -14,6 +14,7 @@
 from math import inf
 
 HELD_UP = 200.0  # ms of the grace that are left for the way from a decision to its first byte
+WHOLE_LIST = 1 << 62  # as a version: only the whole list has as much
 LONGEST = 4.0  # of the settings' time for asking, for which a list may be used after a failed call
 
 
@@ -52,7 +53,10 @@
         self._sum_up()
 
     def cut_off(self, now: float, call: int, version: int) -> None:
-        """A call ended in the middle of an update; `version`: of the update, 0 if that had not come."""
+        """A call ended in the middle of an update, or a part of it cannot be read.
+
+        `version`: of the update; 0 if that had not come, `WHOLE_LIST` if no later update has its news.
+        """
         self._lost_at = min(self._lost_at, self._arriving.pop(call, now))
         self._lost_version = max(self._lost_version, version)
         self._sum_up()
--- a/ospreyline/net/discovery.py
+++ b/ospreyline/net/discovery.py
@@ -19,6 +19,7 @@
 import msgspec
 
 from ospreyline import facts
+from ospreyline.indoubt import WHOLE_LIST
 from ospreyline.net.upstreams import unread
 
 # s without a whole line after which a watch is dead: an empty one is due every 2 s, and what is missed counts
@@ -48,6 +49,12 @@
     boot_ms: float = 0.0
 
 
+class _Named(msgspec.Struct):
+    """What is read of an entry that cannot be read otherwise."""
+
+    uid: str
+
+
 @dataclass(slots=True, frozen=True)
 class News:
     """A whole list, or what changed."""
@@ -55,6 +62,7 @@
     rev: int
     whole: bool
     targets: list[tuple[Target, tuple[str, int] | None]]
+    complete: bool = True  # of all entries it is known whose they are
 
 
 @dataclass(slots=True, frozen=True)
@@ -75,7 +83,7 @@
 
 @dataclass(slots=True, frozen=True)
 class CutOff:
-    """A call ended in the middle of an answer; `version`: of the update, 0 if it had not come."""
+    """A call ended in the middle of an answer, or a part of it cannot be read; versions as in `indoubt`."""
 
     call: int
     version: int
@@ -107,8 +115,7 @@
 
 _LISTING = msgspec.json.Decoder(_Listing, strict=False)
 _TARGET = msgspec.json.Decoder(Target, strict=False)
-
-
+_NAMED = msgspec.json.Decoder(_Named)
 _VERSION = re.compile(rb'"rev"\s*:\s*(\d+)')
 
 
@@ -119,24 +126,37 @@
 
 
 def read(line: bytes, log: Log) -> News | None:
-    """One object of the list; None if it cannot be read. A faulty entry is passed over alone."""
+    """One object of the list; None if it cannot be read. Whose entry cannot be read takes nothing new."""
     try:
         listing = _LISTING.decode(line)
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
         log.warning("unreadable list", error=str(error))
         return None
-    targets = []
+    targets, complete = [], True
     for raw in listing.targets:
         try:
             target = _TARGET.decode(raw)
         except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-            log.warning("unreadable entry of the list", error=str(error))
-            continue
+            named = _name(raw)
+            log.warning("unreadable entry of the list", uid=named, error=str(error))
+            if named is None:
+                complete = False
+                continue
+            # guards: it may say that its server drains
+            target = Target(named, state="unreadable")
         at = facts.address(target.endpoint)
-        if at is None and target.state != "left":
+        if at is None and target.state not in ("left", "unreadable"):
             log.warning("entry of the list without an address", uid=target.uid, endpoint=target.endpoint)
         targets.append((target, at))
-    return News(listing.rev, listing.all, targets)
+    return News(listing.rev, listing.all, targets, complete)
+
+
+def _name(raw: msgspec.Raw) -> str | None:
+    """Whose entry it is, if that can be read."""
+    try:
+        return _NAMED.decode(raw).uid
+    except (msgspec.MsgspecError, UnicodeDecodeError):
+        return None
 
 
 class _Call(asyncio.Protocol):
@@ -404,6 +424,11 @@
 
     def told(self, call: _Call, news: News | None) -> None:
         """A line has come; an empty one (None) says that nothing has changed."""
+        if news is not None and not news.complete and not news.whole and call.watching:
+            # guards: who it is about may drain; the whole list leaves out whom it cannot name
+            self._whole_due = True
+            self._take(call, news)
+            return self.progress(CutOff(call.number, WHOLE_LIST))
         self._take(call, news)
         version = self.rev if news is None else news.rev
         self.progress(Arrived(call.number, version, news is not None and (news.whole or not call.watching)))
--- a/tests/test_lists.py
+++ b/tests/test_lists.py
@@ -323,6 +323,7 @@
             client = await caller(service)
             await registry.until(lambda: len(registry.requests) > 1)
             assert b"watch" not in registry.requests[1][0]
+            registry.writers[0].write(chunk(b"\n"))  # nothing has changed since, which says nothing of it
             while not service.turn.balancer.in_doubt.withholds(clock()):
                 await asyncio.sleep(0.01)
             assert (await client.ask(request()))[0] == 503
