--- a/ospreyline/indoubt.py
+++ b/ospreyline/indoubt.py
@@ -13,7 +13,9 @@
 
 from math import inf
 
-HELD_UP = 200.0  # ms of the grace that are left for the way from a decision to its first byte
+# ms of the grace that are left: a process may be held up for 150 before it reads what came, and again between
+# the last look and the first byte; the rest is for the turns of its event loop
+HELD_UP = 2 * 150.0 + 100.0
 WHOLE_LIST = 1 << 62  # as a version: only the whole list has as much
 LONGEST = 4.0  # of the settings' time for asking, for which a list may be used after a failed call
 
