Reading the list is a module of its own; a version counts once all its figures have come

With it: a version that was cut off between its figures (4 of 41) would have let an older list end a doubt.

--- a/ospreyline/net/discovery.py
+++ b/ospreyline/net/discovery.py
@@ -1,25 +1,24 @@
-"""The list of upstreams: asked for once, or watched; what comes is checked line by line.
+"""Calls to the list service: the list of upstreams is asked for once, or watched, and told as it comes.
 
 When to ask is decided elsewhere. A call that fails, or a watch that ends or falls silent, is told once. A new
 address is asked at once; the old one's watch is heard until the new one has said something. A call that has
-said nothing yet is left out beside the next one, two at most: it may be served in its turn, or never.
+said nothing yet is left out beside the next one, three at most: it may be served in its turn, or never. How
+far an answer has come is told, too: what was written and did not arrive may name a server that drains.
 """
 
 from __future__ import annotations
 
 import asyncio
-import re
 import select
 from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass
-from typing import Any, Protocol, cast
+from typing import cast
 
 import httptools
-import msgspec
 
-from ospreyline import facts
 from ospreyline.indoubt import WHOLE_LIST
+from ospreyline.net.listing import Log, News, open_brackets, read, version_of
 from ospreyline.net.upstreams import unread
 
 # s without a whole line after which a watch is dead: an empty one is due every 2 s, and what is missed counts
@@ -29,40 +28,6 @@
 MOST_WAITING = 3  # calls that wait for their first byte at a time
 MOST_CALL = 10.0  # s that a call for the whole list may take in all; others are made beside it meanwhile
 MOST_LINE = 8 << 20
-_TEXT = re.compile(rb'"(?:[^"\\]|\\.)*"')  # of JSON; it holds no line's end
-
-
-class _Listing(msgspec.Struct):
-    rev: int
-    targets: list[msgspec.Raw]
-    all: bool = False
-
-
-class Target(msgspec.Struct):
-    """One line of the list, as discovery words it."""
-
-    uid: str
-    endpoint: str = ""
-    az: str = ""
-    pod_group: int | None = None
-    state: str = "active"
-    boot_ms: float = 0.0
-
-
-class _Named(msgspec.Struct):
-    """What is read of an entry that cannot be read otherwise."""
-
-    uid: str
-
-
-@dataclass(slots=True, frozen=True)
-class News:
-    """A whole list, or what changed."""
-
-    rev: int
-    whole: bool
-    targets: list[tuple[Target, tuple[str, int] | None]]
-    complete: bool = True  # of all entries it is known whose they are
 
 
 @dataclass(slots=True, frozen=True)
@@ -108,57 +73,6 @@
     turned_away: bool = False  # by a service that answers, and has too many callers
 
 
-class Log(Protocol):
-    def info(self, event: str, **values: Any) -> Any: ...
-    def warning(self, event: str, **values: Any) -> Any: ...
-
-
-_LISTING = msgspec.json.Decoder(_Listing, strict=False)
-_TARGET = msgspec.json.Decoder(Target, strict=False)
-_NAMED = msgspec.json.Decoder(_Named)
-_VERSION = re.compile(rb'"rev"\s*:\s*(\d+)')
-
-
-def _open_brackets(line: bytes) -> int:
-    """How many more brackets a line of JSON opens than it closes."""
-    bare = _TEXT.sub(b"", line)
-    return bare.count(b"{") + bare.count(b"[") - bare.count(b"}") - bare.count(b"]")
-
-
-def read(line: bytes, log: Log) -> News | None:
-    """One object of the list; None if it cannot be read. Whose entry cannot be read takes nothing new."""
-    try:
-        listing = _LISTING.decode(line)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        log.warning("unreadable list", error=str(error))
-        return None
-    targets, complete = [], True
-    for raw in listing.targets:
-        try:
-            target = _TARGET.decode(raw)
-        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-            named = _name(raw)
-            log.warning("unreadable entry of the list", uid=named, error=str(error))
-            if named is None:
-                complete = False
-                continue
-            # guards: it may say that its server drains
-            target = Target(named, state="unreadable")
-        at = facts.address(target.endpoint)
-        if at is None and target.state not in ("left", "unreadable"):
-            log.warning("entry of the list without an address", uid=target.uid, endpoint=target.endpoint)
-        targets.append((target, at))
-    return News(listing.rev, listing.all, targets, complete)
-
-
-def _name(raw: msgspec.Raw) -> str | None:
-    """Whose entry it is, if that can be read."""
-    try:
-        return _NAMED.decode(raw).uid
-    except (msgspec.MsgspecError, UnicodeDecodeError):
-        return None
-
-
 class _Call(asyncio.Protocol):
     """One call: its lines are told as they come, its end once."""
 
@@ -222,8 +136,7 @@
 
     def version(self) -> int:
         """Of the update that is unfinished; 0 if it has not come, or stands behind what has."""
-        found = _VERSION.search(b"".join([*self._object, self._rest]))
-        return int(found[1]) if found else 0
+        return version_of(b"".join([*self._object, self._rest]))
 
     def on_header(self, name: bytes, value: bytes) -> None:
         if name.lower() == b"retry-after":
@@ -287,7 +200,7 @@
             return
         self._object.append(line)
         self._size += len(line)
-        self._brackets += _open_brackets(line)
+        self._brackets += open_brackets(line)
         if self._brackets <= 0:
             text = b"\n".join(self._object)
             self._object, self._brackets, self._size = [], 0, 0
--- a/ospreyline/net/turn.py
+++ b/ospreyline/net/turn.py
@@ -23,7 +23,6 @@
 from ospreyline.decide import Balancer
 from ospreyline.facts import Post
 from ospreyline.host import End, Kind, Listed, PathPrefix, Readiness
-from ospreyline.net import discovery
 from ospreyline.net.clients import Client, Request
 from ospreyline.net.discovery import (
     Arrived,
@@ -31,12 +30,11 @@
     CallFailure,
     CutOff,
     Discovery,
-    News,
     Progress,
     Replaced,
-    Target,
 )
 from ospreyline.net.events import EventLog
+from ospreyline.net.listing import News, Target, read
 from ospreyline.net.upstreams import Answer, Cut, Errand, Stage, Upstreams, Why, end_of, load_report
 from ospreyline.state import Visit
 
@@ -135,7 +133,7 @@
         if operator is not None:
             self._switch_on(operator)
         kept = self._keeping.known(post.known) if self._keeping is not None else post.known
-        known = discovery.read(kept, self.logger)
+        known = read(kept, self.logger)
         self.discovery = Discovery(loop, post.discovery, known.rev if known else 0, self.logger,
                                    tell=lambda news: self.note(self._told, news),
                                    tell_failed=lambda failure: self.note(self._told_nothing, failure),
@@ -614,7 +612,7 @@
             return
         text = b'{"rev":%d,"all":%b,"targets":[%b]}' % (
             others.rev, b"true" if others.whole else b"false", b",".join(others.targets))
-        news = discovery.read(text, self.logger)
+        news = read(text, self.logger)
         if news is None:
             return
         self.counts["lists_from_others"] += 1
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -21,7 +21,8 @@
 from test_clients import play
 
 from ospreyline.net import clients, upstreams
-from ospreyline.net.discovery import Discovery, News
+from ospreyline.net.discovery import Discovery
+from ospreyline.net.listing import News
 
 OWN = 16  # descriptors of a process that does nothing, at the most; 14 here
 PATIENT = 30.0  # s that a process gets where others keep the machine busy
--- a/tests/test_indoubt.py
+++ b/tests/test_indoubt.py
@@ -8,7 +8,8 @@
 from stand_ins import FakeHost, listed
 
 from ospreyline.host import End
-from ospreyline.indoubt import HELD_UP, InDoubt
+from ospreyline.indoubt import HELD_UP, WHOLE_LIST, InDoubt
+from ospreyline.net.listing import version_of
 
 GRACE = 500.0
 ASKING = 10_000.0
@@ -104,3 +105,20 @@
     host.balancer.told_nothing(host.now, cut_off=True)
     host.pass_time(151.0)
     assert len(host.watches) == began + 1
+
+
+@pytest.mark.parametrize("part, version", [
+    (b'{"rev":41,"all":true', 41), (b'{ "rev" : 41 }', 41), (b'{"all":true,"rev":4', 0),
+    (b'{"targets":[', 0)])
+def test_the_version_of_a_part_is_known_once_all_its_figures_have_come(part, version):
+    # taken for 4, an older list would have ended the doubt about 41
+    assert version_of(part) == version
+
+
+def test_what_only_the_whole_list_can_tell_is_settled_by_no_later_update():
+    found = doubt()
+    found.cut_off(0.0, call=1, version=WHOLE_LIST)
+    found.arrived(1, version=10_000, whole=False)
+    assert found.withholds(1_000.0)
+    found.arrived(2, version=5, whole=True)
+    assert not found.withholds(1_000.0)
--- a/tests/test_reuse.py
+++ b/tests/test_reuse.py
@@ -151,7 +151,7 @@
                 turn._told(now, turn_news())
 
             def turn_news():
-                from ospreyline.net.discovery import News, Target
+                from ospreyline.net.listing import News, Target
 
                 born = Target("u0", f"127.0.0.1:{peer.port}", "a", 0, "active", 1e3 * wall())
                 return News(9, False, [(born, ("127.0.0.1", peer.port))])
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -24,6 +24,7 @@
 from ospreyline.net import discovery
 from ospreyline.net import service as service_module
 from ospreyline.net import turn as turn_module
+from ospreyline.net.listing import Target
 from ospreyline.net.turn import FORGET, clock
 
 
@@ -100,8 +101,8 @@
     async def story():
         async with running(Peer()) as service:
             turn = service.turn
-            young = discovery.Target("u0", "127.0.0.1:1", "a", 0, "active", time.time() * 1e3 - 5_000)
-            old = discovery.Target("u1", "127.0.0.1:1", "a", 0, "active", 0)
+            young = Target("u0", "127.0.0.1:1", "a", 0, "active", time.time() * 1e3 - 5_000)
+            old = Target("u1", "127.0.0.1:1", "a", 0, "active", 0)
             assert turn._line(young, 0).came_up == pytest.approx(clock() - 5_000, abs=500)
             assert turn._line(young, 0).came_up == turn._line(young, 0).came_up
             assert turn._line(old, 1).came_up == 0.0
@@ -114,11 +115,11 @@
     async def story():
         async with running(Peer(), Peer()) as service:
             turn = service.turn
-            turn._line(discovery.Target("u0", az="b", pod_group=4), 0)
-            for odd in (discovery.Target("u0", state="left"), discovery.Target("u0", az="nowhere")):
+            turn._line(Target("u0", az="b", pod_group=4), 0)
+            for odd in (Target("u0", state="left"), Target("u0", az="nowhere")):
                 line = turn._line(odd, 0)
                 assert (line.zone, line.cell) == (1, 4)
-            assert turn._line(discovery.Target("u0", az="a", pod_group=2), 0).zone == 0
+            assert turn._line(Target("u0", az="a", pod_group=2), 0).zone == 0
 
     play(story)
 
--- a/tests/test_told.py
+++ b/tests/test_told.py
@@ -33,7 +33,8 @@
 from ospreyline.fleet.lists import Lists
 from ospreyline.fleet.pace import Pace
 from ospreyline.net import service as service_module
-from ospreyline.net.discovery import CallFailure, Discovery, News, Target, _Call
+from ospreyline.net.discovery import CallFailure, Discovery, _Call
+from ospreyline.net.listing import News, Target
 
 TOLD = 6_000.0  # ms
 QUEUE = 1_000.0  # ms that a call waits in a queue before it is turned away
