--- a/ospreyline/net/events.py
+++ b/ospreyline/net/events.py
@@ -1,6 +1,7 @@
 """Log lines about single requests and connections: why one was retried, rejected, failed or closed.
 
-They are rate limited, since a full pipe blocks the event loop: past the limit a line is only counted.
+Each is counted by its reason. Few are written: a full pipe blocks the event loop, and where only a part of a
+log is kept, lines about requests would push out those about the list and the state of the process.
 """
 
 from __future__ import annotations
@@ -9,8 +10,8 @@
 from collections.abc import Callable
 from typing import Any, Protocol
 
-LINES_PER_SECOND = 40.0
-BURST = 200.0  # lines that a quiet time saves up
+LINES_PER_SECOND = 2.0
+BURST = 20.0  # lines that a quiet time saves up
 
 
 class Logger(Protocol):
@@ -20,9 +21,10 @@
 
 
 class EventLog:
-    """Rate-limited log lines; `counts["log_lines_dropped"]` says how many were left out.
+    """Rate-limited log lines; `counts` has every event by its reason, as "event: reason".
 
-    `clock` returns milliseconds on a clock that only goes forward.
+    `counts["log_lines_dropped"]` says for how many no line was written. `clock` returns milliseconds on a
+    clock that only goes forward.
     """
 
     def __init__(self, logger: Logger, clock: Callable[[], float], counts: Counter[str]) -> None:
@@ -32,8 +34,9 @@
         self._tokens = BURST
         self._refilled_at = clock()
 
-    def line(self, event: str, **values: Any) -> None:
-        """Write a line, unless too many were written of late."""
+    def line(self, event: str, why: str, **values: Any) -> None:
+        """Count an event by its reason, and write a line unless too many were written of late."""
+        self._counts[f"{event}: {why}"] += 1
         now = self._clock()
         refill = (now - self._refilled_at) / 1e3 * LINES_PER_SECOND
         self._tokens = min(BURST, self._tokens + refill)
@@ -42,8 +45,8 @@
             self._counts["log_lines_dropped"] += 1
             return
         self._tokens -= 1.0
-        self._logger.info(event, **values)
+        self._logger.info(event, why=why, **values)
 
     def closed(self, side: str, why: str, peer: str) -> None:
         """A connection was closed by this process; `side` is "client" or "upstream"."""
-        self.line("connection closed", side=side, why=why, peer=peer)
+        self.line(f"{side} connection closed", why, peer=peer)
--- a/ospreyline/net/turn.py
+++ b/ospreyline/net/turn.py
@@ -714,8 +714,8 @@
     def send(self, tag: int, upstream: int, time_out: float) -> None:
         taken = self.visits[tag]
         if taken.ends:
-            self.events.line("retry", id=taken.request.trace.decode("latin-1"), after=taken.ends,
-                             attempt=len(taken.errands) + 1, upstream=self._uids[upstream])
+            self.events.line("retry", taken.ends[-1], id=taken.request.trace.decode("latin-1"),
+                             after=taken.ends, attempt=len(taken.errands) + 1, upstream=self._uids[upstream])
         taken.errands.append(None)
         times = self.upstreams.peers[upstream].times
         # guards: counted from when it was decided, whenever it is carried out
@@ -748,7 +748,7 @@
         why = "its attempts failed" if taken.ends else "no upstream has room for it in time"
         if self.balancer.in_doubt.withholds(self._turned):
             why = "an update of the list is in doubt"
-        self.events.line(event, id=taken.request.trace.decode("latin-1"), prefix=taken.terms.name, why=why,
+        self.events.line(event, why, id=taken.request.trace.decode("latin-1"), prefix=taken.terms.name,
                          attempts=taken.ends)
 
     def wake(self, at: float, call: Callable[[float], None]) -> None:
