Each end of a list call says what may be lost: unseen writings are in doubt, calls read to their end

Cause: a call that ended with no byte of an update was taken for one that told nothing, whether a part of a head or the size of a chunk alone had come, or a reset; and a call that we end was aborted with what lay unread. Change: one typed end (CallEnd, net/list_call.py, split from net/discovery.py). A part of a head or chunk counts as a part of an update. A reset with nothing read is in doubt for 1 s, 6 s if the service answers a later call with 503. A call that we end is half-closed and read to its end, 2.5 s at most. A doubt of unknown version ends with an answer asked for later only; calls after losses in a row come further apart. An idle connection beside the watch lives through an outage and tells nothing.

--- a/ospreyline/asking.py
+++ b/ospreyline/asking.py
@@ -31,6 +31,7 @@
         """`place`: from 0 to 1, where in each span of time shared with the others this balancer calls."""
         self.place, self.due, self.failures = place, inf, 0  # failures: in a row
         self._turned_away = 0  # of these, by a service that has too many callers
+        self._lost_in_a_row = 0  # calls, each soon after the one before, that lost an update
         self.period = self._spread = self._opening = LEAST
         self._soon = SOON
         self._patience, self._longest = MOST, LONGEST
@@ -93,6 +94,14 @@
         place = (self.place + TURN * self._turned_away) % 1
         return max(self._patience, longest * (1 - EARLIER * place))
 
-    def cut_off(self, now: float) -> None:
-        """A part of an answer had come: the rest is wanted within the grace of a drain."""
-        self.due = min(self.due, now + self.place * self._soon)
+    def lost(self, now: float) -> None:
+        """An update may have been written and did not arrive: it is wanted within the grace of a drain."""
+        if now - self._began > self._patience:
+            self._lost_in_a_row = 0
+        self._lost_in_a_row += 1
+        soon = now + self.place * self._soon
+        if self._lost_in_a_row > 1:
+            # guards: a service that resets each call at once would be called without a pause
+            pause = min(self.period, SOON * 2 ** min(9, self._lost_in_a_row - 2))
+            soon = max(soon, self._began + pause)
+        self.due = min(self.due, soon)
--- a/ospreyline/capacity/model.py
+++ b/ospreyline/capacity/model.py
@@ -18,7 +18,7 @@
 from ospreyline.fleet.lists import BEAT, SOURCES
 from ospreyline.fleet.members import MOST_MEMBERS
 from ospreyline.fleet.publisher import MOST_SUBSCRIBERS
-from ospreyline.net.discovery import MOST_LINE
+from ospreyline.net.list_call import MOST_LINE
 
 DAY = 86_400.0
 QUIET_LINES = 0.5  # empty lines a second on a watch
--- a/ospreyline/decide.py
+++ b/ospreyline/decide.py
@@ -283,14 +283,15 @@
             self._ring = sorted(self._upstreams.values(), key=lambda u: u.mark * MIX & MASK)
         self._rank(now)
 
-    def told_nothing(self, now: float, cut_off: bool = False, turned_away: bool = False) -> None:
+    def told_nothing(self, now: float, lost: bool = False, turned_away: bool = False) -> None:
         """A call for the list failed or the subscription broke: the old list stands, we ask again.
 
-        `cut_off`: a part of an answer had come; `turned_away`: the service has too many callers.
+        `lost`: an update may have been written that did not arrive; `turned_away`: the service has too many
+        callers.
         """
         self._asking.failed(now, turned_away)
-        if cut_off and self._terms.ask_for_list:
-            self._asking.cut_off(now)
+        if lost and self._terms.ask_for_list:
+            self._asking.lost(now)
             self._host.wake(self._asking.due, self._ask)
 
     def asked(self, now: float) -> None:
--- a/ospreyline/indoubt.py
+++ b/ospreyline/indoubt.py
@@ -1,16 +1,18 @@
 """Updates of the server list that are in doubt: sent by the list service, and not known to have arrived.
 
-What the service has written counts as told, whether or not it reaches us. So an answer of which a part has
-come is no failed call: any server may be draining by it. Its outcome is in doubt until the rest has come or
-a later answer has taken its place. No request goes to a server while an update is in doubt for longer than
-the grace of a drain allows; it is rejected at once. docs/design.md, "Updates in doubt".
-
-Pure: times in ms on one clock, calls named by numbers. Off unless calls are reported; then one attribute
-check for each request.
+What the service has written counts as told, whether or not it reaches us. So a call of which a part of an
+answer has come, or that was reset, is no failed call: any server may be draining by what it told. The outcome
+is in doubt until the rest has come, or until a call that began later has been answered. No request goes to a
+server while an update is in doubt for longer than the grace of a drain allows; it is rejected at once.
+docs/design.md, "Updates in doubt".
+
+Pure: times in ms on one clock, calls named by numbers that count up. Off unless calls are reported; then one
+attribute check for each request.
 """
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from math import inf
 
 # ms of the grace that are left: a process may be held up for 150 before it reads what came, and again between
@@ -18,19 +20,52 @@
 HELD_UP = 2 * 150.0 + 100.0
 WHOLE_LIST = 1 << 62  # as a version: only the whole list has as much
 LONGEST = 4.0  # of the settings' time for asking, for which a list may be used after a failed call
+# ms for which it counts that a call was reset of which nothing came: a service that goes down resets all of
+# its calls, mostly with nothing written, and requests have to go on. It is no such outage if the service
+# answers a later call meanwhile, though it turns it away: then it counts for as long as a change may go untold
+LONGEST_UNSEEN = 1_000.0
+LONGEST_UNSEEN_IF_UP = 6_000.0
+
+
+@dataclass(slots=True)
+class _Loss:
+    """Updates that did not arrive, of one kind; what settles all of them."""
+
+    since: float = inf  # the oldest was written then
+    version: int = 0  # the highest that is known
+    unknown: bool = False  # the version of one is not known
+    latest: int = 0  # call that had begun when the last of them was lost
+
+    def add(self, since: float, version: int, latest: int) -> None:
+        self.since = min(self.since, since)
+        self.version = max(self.version, version)
+        self.unknown = self.unknown or version == 0
+        self.latest = max(self.latest, latest)
+
+    def settled_by(self, call: int, version: int, whole: bool) -> bool:
+        """Whether an answer has as much, or was asked for later."""
+        # guards: an answer of before can be read after a loss; it says nothing of what was lost
+        later = call > self.latest
+        if self.version == WHOLE_LIST:
+            return whole and later
+        if self.unknown and not later:
+            return False
+        return version >= self.version or (whole and later)
 
 
 class InDoubt:
     """The updates of one balancer that are in doubt, and since when."""
 
-    __slots__ = ("_allowance", "_arriving", "_longest", "_lost_at", "_lost_version", "since")
+    __slots__ = ("_allowance", "_arriving", "_longest", "_longest_unseen", "_seen", "_unseen",
+                 "since")
 
     def __init__(self) -> None:
         self.since = inf  # the oldest update in doubt began to arrive then; inf: there is none
         self._arriving: dict[int, float] = {}  # by call: its unfinished update began to arrive then
-        self._lost_at = inf  # an update began to arrive then and was cut off
-        self._lost_version = 0  # the highest version of those, 0 where it had not come
+        self._seen = _Loss()  # a part of them came
+        self._unseen = _Loss()  # nothing of them came, and there may have been none
         self._allowance = self._longest = 0.0
+        self._longest_unseen = LONGEST_UNSEEN
 
     def fit(self, drain_grace: float, must_ask_in: float) -> None:
         """Figures of the settings, ms: how long sends may go on after a drain was told, time for asking."""
@@ -39,34 +74,46 @@
 
     def withholds(self, now: float) -> bool:
         """Whether requests have to wait for the list."""
+        if now - self.since < self._allowance:
+            return False
         # guards: a list service that broke off an answer and then died would keep everything out for good
-        return self._allowance <= now - self.since < self._longest
+        seen = min(self._seen.since, *self._arriving.values(), inf)
+        return (self._allowance <= now - seen < self._longest
+                or self._allowance <= now - self._unseen.since < min(self._longest_unseen, self._longest))
 
     def arriving(self, now: float, call: int) -> None:
         """The first bytes of an update have come on a call."""
         self._arriving.setdefault(call, now)
         self._sum_up()
 
+    def nothing(self, call: int) -> None:
+        """What was arriving on a call is no update, or one that is known already."""
+        self._arriving.pop(call, None)
+        self._sum_up()
+
     def arrived(self, call: int, version: int, whole: bool) -> None:
-        """An update has come whole; `whole`: it is the whole list, which leaves nothing in doubt."""
+        """An update has come whole, or the word that there is none; `whole`: it is the whole list."""
         self._arriving.pop(call, None)
-        if whole or version >= self._lost_version:
-            self._lost_at, self._lost_version = inf, 0
+        if self._seen.settled_by(call, version, whole):
+            self._seen = _Loss()
+        if self._unseen.settled_by(call, version, whole):
+            self._unseen, self._longest_unseen = _Loss(), LONGEST_UNSEEN
         self._sum_up()
 
-    def cut_off(self, now: float, call: int, version: int) -> None:
-        """A call ended in the middle of an update, or a part of it cannot be read.
+    def turned_away(self, now: float, call: int) -> None:
+        """The service answers a call, and has too many."""
+        if call > self._unseen.latest and now - self._unseen.since < LONGEST_UNSEEN:
+            self._longest_unseen = LONGEST_UNSEEN_IF_UP
 
-        `version`: of the update; 0 if that had not come, `WHOLE_LIST` if no later update has its news.
-        """
-        self._lost_at = min(self._lost_at, self._arriving.pop(call, now))
-        self._lost_version = max(self._lost_version, version)
-        self._sum_up()
+    def lost(self, now: float, call: int, version: int, latest: int, seen: bool = True) -> None:
+        """An update may have been written on a call that did not arrive, or a part of it cannot be read.
 
-    def replaced(self, call: int) -> None:
-        """We ended a call, since another one has brought as much."""
-        self._arriving.pop(call, None)
+        `version`: of the update; 0 if that is not known, `WHOLE_LIST` if no later update has its news.
+        `latest`: the number of the latest call that has begun. `seen`: a part of it came.
+        """
+        loss = self._seen if seen else self._unseen
+        loss.add(self._arriving.pop(call, now), version, latest)
         self._sum_up()
 
     def _sum_up(self) -> None:
-        self.since = min(self._lost_at, *self._arriving.values(), inf)
+        self.since = min(self._seen.since, self._unseen.since, *self._arriving.values(), inf)
--- a/ospreyline/net/turn.py
+++ b/ospreyline/net/turn.py
@@ -28,10 +28,11 @@
     Arrived,
     Arriving,
     CallFailure,
-    CutOff,
     Discovery,
+    Lost,
+    Nothing,
     Progress,
-    Replaced,
+    TurnedAway,
 )
 from ospreyline.net.events import EventLog
 from ospreyline.net.listing import News, Target, read
@@ -567,12 +568,14 @@
                 in_doubt.arriving(now, call)
             case Arrived(call, version, whole):
                 in_doubt.arrived(call, version, whole)
-            case CutOff(call, version):
-                in_doubt.cut_off(now, call, version)
-                self.logger.warning("list update in doubt", call=call, rev=version or None,
+            case Lost(call, version, latest, seen):
+                in_doubt.lost(now, call, version, latest, seen)
+                self.logger.warning("list update in doubt", call=call, rev=version or None, seen=seen,
                                     since_ms=round(now - in_doubt.since))
-            case Replaced(call):
-                in_doubt.replaced(call)
+            case Nothing(call):
+                in_doubt.nothing(call)
+            case TurnedAway(call):
+                in_doubt.turned_away(now, call)
         if in_doubt.since == inf and now - since >= SAID:
             self.logger.info("list update no longer in doubt", ms=round(now - since))
 
@@ -580,8 +583,8 @@
         told = self.bank is not None and self.bank.told_nothing()
         if self._pace is not None:
             self._pace.failed(now, failure.retry_after, told)
-            if failure.cut_off:
-                self._pace.cut_off(now)
+            if failure.lost:
+                self._pace.lost(now)
             self._plan()
         elif not self._post.terms.ask_for_list:
             # guards: each change of a pushed list counts as told though no watch is open. To the decisions it
@@ -590,7 +593,7 @@
             self.wake(now + self._again * (0.5 + self._draw()), self._watch_again)
             self._again = min(2 * self._again, MOST_AGAIN)
             return
-        self.balancer.told_nothing(now, failure.cut_off, failure.turned_away)
+        self.balancer.told_nothing(now, failure.lost, failure.turned_away)
 
     def _watch_again(self, now: float) -> None:
         if not self._post.terms.ask_for_list and not self.discovery.watching:
