--- /dev/null
+++ b/tests/test_list_read_late.py
@@ -0,0 +1,113 @@
+"""News of a drain that is written while the process is stopped, or held up: real processes.
+
+What the list service has written counts as told, though a process that is stopped reads it only when it goes
+on. Then the requests that waited in its sockets and the news are there at once: nothing may be decided by the
+list of before.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import time
+
+import pytest
+from test_list_answers import GRACE, HEAD, SLACK, Call, Load, Story, chunk, play
+
+CLIENTS = 4  # that ask without a pause
+SETTLES = 0.4  # s after a stop, in which a misplaced request would show
+
+
+class Stopped(Story):
+    """One process with a watch that stands, and clients that go on asking while it is stopped."""
+
+    async def __aenter__(self) -> Stopped:
+        await super().__aenter__()
+        self.loads += [Load(self.running[0], 0) for _ in range(CLIENTS - 1)]
+        return self
+
+    async def stop_while_written(self, news: bytes, stopped: float) -> float:
+        """Stop the process for a while, in which the list service writes; when it wrote."""
+        pid = self.running[0].process
+        pid.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(0.02)
+        self.services[0].calls[-1].write(news)
+        written = time.monotonic()
+        await asyncio.sleep(stopped)
+        pid.send_signal(signal.SIGCONT)
+        await asyncio.sleep(SETTLES)
+        return written
+
+
+# `serve` that is held up once, for longer than the grace, at a named place, as soon as a file is there; it says
+# so by removing the file
+HELD_UP_AT = """
+import os, sys, time
+from ospreyline import decide
+from ospreyline.__main__ import main
+from ospreyline.net import turn, upstreams
+
+place, flag, held_up = {place!r}, {flag!r}, {held_up!r}
+
+def hold_up():
+    if os.path.exists(flag):
+        os.remove(flag)
+        time.sleep(held_up)
+
+def before(owner, name):
+    run = getattr(owner, name)
+    def held(*args, **more):
+        hold_up()
+        return run(*args, **more)
+    setattr(owner, name, held)
+
+connect = upstreams.Peer._connect
+async def connected(peer, conn):
+    await connect(peer, conn)
+    hold_up()
+
+if place == "the decision":
+    before(decide.Balancer, "take")
+elif place == "the write":
+    before(turn.Turn, "write")
+else:
+    upstreams.Peer._connect = connected
+main(["serve", sys.argv[1]])
+"""
+HELD_UP_FOR = 0.7  # s
+
+
+@pytest.mark.parametrize("place", ["the decision", "the write", "the connection has come up"])
+def test_a_send_that_is_held_up_for_longer_than_the_grace_looks_for_news_of_the_list(place, tmp_path):
+    # seen with a process that was stopped for 0.7 s under load: what was decided before went out when it went
+    # on, 3 ms later, with the news unread
+    async def story() -> None:
+        def serve(call: Call) -> None:
+            call.write(HEAD + chunk(call.list(version, day.known)))
+
+        version = 3
+        flag = tmp_path / "hold up"
+        shim = HELD_UP_AT.format(place=place, flag=str(flag), held_up=HELD_UP_FOR)
+        day = Stopped(serve, tmp_path, processes=1, shim=shim)
+        async with day:
+            await day.holds(lambda: bool(day.services[0].calls) and day.all_served_by(b"draining", 0.0))
+            call = day.services[0].calls[0]
+            for _ in range(4):
+                version += 1
+                news = chunk(call.list(version, [{**day.known[0], "state": "leaving"}], whole=False))
+                flag.touch()
+                if place == "the connection has come up":
+                    for writer in day.draining.writers:  # those that are kept
+                        writer.close()
+                await day.holds(lambda: not flag.exists())
+                call.write(news)
+                written = time.monotonic()
+                await asyncio.sleep(HELD_UP_FOR + SETTLES)
+                late = [at - written for at in day.draining.times(0) if at > written + GRACE + SLACK]
+                assert not late, late
+                version += 1
+                call.write(chunk(call.list(version, day.known)))
+                back = time.monotonic()
+                await day.holds(lambda since=back: day.all_served_by(b"draining", since))
+
+    play(story)
