From 6 s of silence on nothing is sent until the list is told; the pace of a bank holds in an outage

Cause: a call that had fallen silent was ended and asked again, and where the service turned calls away the list of before went on, though what a silent call misses counts as told 6 s after its last word. Change: such a call leaves a doubt that begins then and ends with the answer to a later call (indoubt.fell_silent). A reset that answers our own end of a call is no loss.

--- a/ospreyline/indoubt.py
+++ b/ospreyline/indoubt.py
@@ -19,6 +19,9 @@
 # the last look and the first byte; the rest is for the turns of its event loop
 HELD_UP = 2 * 150.0 + 100.0
 WHOLE_LIST = 1 << 62  # as a version: only the whole list has as much
+# ms after a watch, or a call that waits, has fallen silent, from which on what it misses counts as told,
+# whether or not it arrived: so the page on the standing test has it
+TOLD_AT_LAST = 6_000.0
 LONGEST = 4.0  # of the settings' time for asking, for which a list may be used after a failed call
 # ms for which it counts that a call was reset of which nothing came: a service that goes down resets all of
 # its calls, mostly with nothing written, and requests have to go on. It is no such outage if the service
@@ -56,14 +59,15 @@
 class InDoubt:
     """The updates of one balancer that are in doubt, and since when."""
 
-    __slots__ = ("_allowance", "_arriving", "_longest", "_longest_unseen", "_seen", "_unseen",
-                 "since")
+    __slots__ = ("_allowance", "_arriving", "_longest", "_longest_unseen", "_seen", "_silent",
+                 "_unseen", "since")
 
     def __init__(self) -> None:
         self.since = inf  # the oldest update in doubt began to arrive then; inf: there is none
         self._arriving: dict[int, float] = {}  # by call: its unfinished update began to arrive then
         self._seen = _Loss()  # a part of them came
         self._unseen = _Loss()  # nothing of them came, and there may have been none
+        self._silent = _Loss()  # what calls that were silent have missed; counts from a time ahead
         self._allowance = self._longest = 0.0
         self._longest_unseen = LONGEST_UNSEEN
 
@@ -77,7 +81,7 @@
         if now - self.since < self._allowance:
             return False
         # guards: a list service that broke off an answer and then died would keep everything out for good
-        seen = min(self._seen.since, *self._arriving.values(), inf)
+        seen = min(self._seen.since, self._silent.since, *self._arriving.values(), inf)
         return (self._allowance <= now - seen < self._longest
                 or self._allowance <= now - self._unseen.since < min(self._longest_unseen, self._longest))
 
@@ -96,10 +100,17 @@
         self._arriving.pop(call, None)
         if self._seen.settled_by(call, version, whole):
             self._seen = _Loss()
+        if self._silent.settled_by(call, version, whole):
+            self._silent = _Loss()
         if self._unseen.settled_by(call, version, whole):
             self._unseen, self._longest_unseen = _Loss(), LONGEST_UNSEEN
         self._sum_up()
 
+    def fell_silent(self, since: float, call: int) -> None:
+        """A call has been ended that had said nothing since a time, and may be broken."""
+        self._silent.add(since + TOLD_AT_LAST, 0, call)
+        self._sum_up()
+
     def turned_away(self, now: float, call: int) -> None:
         """The service answers a call, and has too many."""
         if call > self._unseen.latest and now - self._unseen.since < LONGEST_UNSEEN:
@@ -116,4 +127,5 @@
         self._sum_up()
 
     def _sum_up(self) -> None:
-        self.since = min(self._seen.since, self._unseen.since, *self._arriving.values(), inf)
+        self.since = min(self._seen.since, self._silent.since, self._unseen.since, *self._arriving.values(),
+                         inf)
--- a/ospreyline/net/discovery.py
+++ b/ospreyline/net/discovery.py
@@ -65,7 +65,15 @@
     call: int
 
 
-Progress = Arriving | Arrived | Lost | Nothing | TurnedAway
+@dataclass(slots=True, frozen=True)
+class Silent:
+    """A call has been ended that said nothing for `age` s; what was written on it meanwhile is lost."""
+
+    call: int
+    age: float
+
+
+Progress = Arriving | Arrived | Lost | Nothing | TurnedAway | Silent
 
 
 @dataclass(slots=True, frozen=True)
@@ -74,6 +82,7 @@
 
     retry_after: float = 0.0  # ms; as the service told it
     lost: bool = False  # an update may have been written on it that did not arrive
+    seen: bool = False  # and a part of it came
     turned_away: bool = False  # by a service that answers, and has too many callers
 
 
@@ -205,7 +214,7 @@
         self.log.info("list call read to its end", call=call.number, why=call.why, bytes=call.bytes,
                       objects=call.objects, unfinished=call.unfinished())
         if self._lost(call):
-            self._tell_failed(CallFailure(lost=True))
+            self._tell_failed(CallFailure(lost=True, seen=True))
 
     def unread(self) -> bool:
         """Whether something of the list lies in a socket that the loop has not read yet."""
@@ -309,7 +318,8 @@
         if why and (alone or lost or call.watching):
             self.log.warning("call to discovery failed", why=why, watch=call.watching, end=call.end.value)
         if why and (alone or lost):
-            self._tell_failed(CallFailure(call.retry_after, lost, call.turned_away))
+            seen = lost and call.end is not CallEnd.UNKNOWN
+            self._tell_failed(CallFailure(call.retry_after, lost, seen, call.turned_away))
 
     def _step_down(self, call: ListCall) -> bool:
         """A call gives up its part; whether no other one that is out does it."""
@@ -340,6 +350,7 @@
         for call in list(self._calls):
             # guards: timers come before sockets, and what lies unread there counts as told
             if call.silent(now) and not call.unread():
+                self._progress(Silent(call.number, now - call.heard))
                 call.stop("silent", CallEnd.LEFT)
         for call in list(self._left):
             if call.left_at is not None and now - call.left_at > READ_ON and not call.unread():
--- a/ospreyline/net/list_call.py
+++ b/ospreyline/net/list_call.py
@@ -229,8 +229,9 @@
         """What the end of the connection says of what was written before it."""
         if self.unfinished():
             return CallEnd.CUT_OFF
-        if not reset:
-            # what is written before an end in order arrives before it; here all of that was read
+        if not reset or self.left_at is not None:
+            # what is written before an end in order arrives before it; here all of that was read. A reset as
+            # the answer to our own end says no more than that the service has given the call up
             return CallEnd.CLOSED
         # guards: the head of an answer has come, so that what is told first was behind it
         return CallEnd.CUT_OFF if self._head_done and not self.spoken else CallEnd.UNKNOWN
--- a/ospreyline/net/turn.py
+++ b/ospreyline/net/turn.py
@@ -32,6 +32,7 @@
     Lost,
     Nothing,
     Progress,
+    Silent,
     TurnedAway,
 )
 from ospreyline.net.events import EventLog
@@ -597,6 +598,9 @@
                 in_doubt.nothing(call)
             case TurnedAway(call):
                 in_doubt.turned_away(now, call)
+            case Silent(call, age):
+                in_doubt.fell_silent(now - 1e3 * age, call)
+                self.logger.info("list call was silent", call=call, s=round(age, 1))
         if in_doubt.since == inf and now - since >= SAID:
             self.logger.info("list update no longer in doubt", ms=round(now - since))
 
@@ -604,7 +608,8 @@
         told = self.bank is not None and self.bank.told_nothing()
         if self._pace is not None:
             self._pace.failed(now, failure.retry_after, told)
-            if failure.lost:
+            # guards: a service that goes down resets the calls of the whole bank, which has a pace to keep
+            if failure.seen:
                 self._pace.lost(now)
             self._plan()
         elif not self._post.terms.ask_for_list:
--- a/tests/test_indoubt.py
+++ b/tests/test_indoubt.py
@@ -12,6 +12,7 @@
     HELD_UP,
     LONGEST_UNSEEN,
     LONGEST_UNSEEN_IF_UP,
+    TOLD_AT_LAST,
     WHOLE_LIST,
     InDoubt,
 )
@@ -188,3 +189,21 @@
             host.pass_time(1.0)
     gaps = [later - earlier for earlier, later in pairwise(host.watches)]
     assert gaps == sorted(gaps) and gaps[0] < 250.0 and gaps[-1] >= 1_000.0
+
+
+def test_what_a_silent_call_misses_counts_as_told_6_s_after_its_last_word():
+    found = doubt()
+    found.fell_silent(1_000.0, call=2)  # noticed later
+    told = 1_000.0 + TOLD_AT_LAST
+    assert not found.withholds(told + GRACE - HELD_UP - 1) and found.withholds(told + GRACE - HELD_UP)
+    found.arrived(1, version=9, whole=True)  # it was asked for before
+    assert found.withholds(told + 1_000.0)
+    found.arrived(3, version=0, whole=False)  # nothing has changed, says a later one
+    assert not found.withholds(told + 1_000.0)
+
+
+def test_a_call_that_is_answered_in_time_leaves_nothing_of_the_silence_before():
+    found = doubt()
+    found.fell_silent(1_000.0, call=2)
+    found.arrived(3, version=4, whole=False)
+    assert not found.withholds(1_000.0 + TOLD_AT_LAST + 1_000.0)
