--- a/ospreyline/net/discovery.py
+++ b/ospreyline/net/discovery.py
@@ -350,7 +350,8 @@
         for call in list(self._calls):
             # guards: timers come before sockets, and what lies unread there counts as told
             if call.silent(now) and not call.unread():
-                self._progress(Silent(call.number, now - call.heard))
+                if call.transport is not None:
+                    self._progress(Silent(call.number, now - call.heard))
                 call.stop("silent", CallEnd.LEFT)
         for call in list(self._left):
             if call.left_at is not None and now - call.left_at > READ_ON and not call.unread():
--- a/tests/test_silent_list.py
+++ b/tests/test_silent_list.py
@@ -18,6 +18,8 @@
 from pathlib import Path
 
 import pytest
+import structlog
+from test_descriptors import PATIENT
 from test_list_answers import (
     BUSY,
     GRACE,
@@ -31,6 +33,9 @@
     play,
 )
 
+from ospreyline.net.discovery import Discovery, Progress, Silent
+from ospreyline.net.list_call import MOST_WAIT, CallEnd
+
 BACK = 8.5  # s after the last word, from when on calls are answered again
 
 
@@ -69,3 +74,26 @@
 @pytest.mark.parametrize("speaks_first", [True, False], ids=["a watch that stood", "a call that waits"])
 def test_nothing_is_sent_from_6_s_of_silence_on_until_the_list_is_told(speaks_first, tmp_path):
     silent(speaks_first, tmp_path)
+
+
+def test_a_call_that_never_connected_has_missed_nothing(monkeypatch):
+    # a balancer that is cut off from the list service has no watch that could have told it anything
+    async def story() -> None:
+        progress: list[Progress] = []
+        loop = asyncio.get_running_loop()
+
+        async def never(*_: object) -> None:
+            await asyncio.sleep(PATIENT)
+
+        lists = Discovery(loop, ("127.0.0.1", 1), 3, structlog.get_logger(), lambda news: None,
+                          lambda failure: None, progress.append)
+        monkeypatch.setattr(lists, "_open", never)
+        lists.watch(True)
+        (call,) = lists._calls
+        call.since = call.heard = loop.time() - MOST_WAIT - 1.0
+        lists.tidy()
+        assert call.end is CallEnd.LEFT and not lists._calls
+        assert not [step for step in progress if isinstance(step, Silent)]
+        lists.close()
+
+    play(story)
