--- a/ospreyline/rig/command.py
+++ b/ospreyline/rig/command.py
@@ -103,6 +103,34 @@
     sys.exit(1 if any(figures["breaches"].values()) else 0)
 
 
+@rig.command()
+@click.option("--seeds", default="1:3", show_default=True, help="FIRST:LAST, both are played.")
+@click.option("--out", type=FOLDER, help="Folder for rows, logs and records; else a new temporary one.")
+@_told
+def soak(seeds: str, out: Path | None) -> None:
+    """Play days that are drawn by seed, with a release and faults that overlap; status 1 if one is red."""
+    from ospreyline.rig import soak as soaks
+
+    first, _, last = seeds.partition(":")
+    if not (first.isdigit() and (last or first).isdigit()):
+        raise ScenarioError(f"--seeds: {seeds!r} is not FIRST:LAST")
+    red = void = 0
+    for seed in range(int(first), int(last or first) + 1):
+        folder = out / str(seed) if out else Path(tempfile.mkdtemp(prefix="ospreyline-soak-"))
+        found = soaks.planned(seed)
+        said: list[str] = []
+        day = soaks.outcome(seed, found, played(found, seed, folder, said.append))
+        red, void = red + day.red, void + day.void
+        how = "void" if day.void else "RED" if day.red else "kept"
+        click.echo(f"seed {seed:4} {how:4} {found.bank.count} balancers, {len(day.plan)} faults, "
+                   f"rig late {day.lag:.0f} ms {day.breaches or ''}")
+        if day.red:
+            click.echo("\n".join(["  " + line for line in (*day.plan, *said)]))
+            click.echo(f"  again: ospreyline rig soak --seeds {seed}:{seed}; records in {folder}")
+    click.echo(f"{red} red, {void} void")
+    sys.exit(1 if red else 0)
+
+
 @rig.command()
 @click.option("--count", default=3, show_default=True, help="Processes that start at once.")
 @click.option("--list", "state", default="up", show_default=True, help="State of the list service.",
--- a/ospreyline/rig/referee.py
+++ b/ospreyline/rig/referee.py
@@ -81,15 +81,21 @@
 
 
 def uid_index(uid: str) -> int:
-    """The machine of an id such as `s-3-2` (machine 3, its third process by the list)."""
+    """The machine of an id such as `s-3-2` (machine 3, its second process by the list)."""
     return int(uid.split("-")[1])
 
 
+def uid_process(uid: str) -> int:
+    """Which process of its machine an id such as `s-3-2` names."""
+    return int(uid.split("-")[2])
+
+
 class Referee:
     """Takes all rows of a run, in the order of their times; `breaches` holds what it found."""
 
     def __init__(self, scenario: Scenario, speeds: Sequence[float]) -> None:
         self._s = scenario
+        self._newest: dict[str, dict[int, int]] = {}  # by balancer and machine: its latest process told
         self._slack = scenario.rules.slack_ms
         self._terms = {p.name: p for p in scenario.prefixes}
         groups = [g for g in scenario.servers for _ in range(g.count)]
@@ -342,16 +348,25 @@
                 del told[key]
             asked[row["name"]] = row["t"]
         elif row["k"] == "listed":
-            index = uid_index(row["entry"]["uid"])
+            uid = row["entry"]["uid"]
+            index, newest = uid_index(uid), self._newest.setdefault("", {})  # "": by the list itself
             if row["entry"].get("state", "active") == "active":
                 leaving.pop(index, None)
-            else:
+                newest[index] = max(newest.get(index, 0), uid_process(uid))
+            elif uid_process(uid) >= newest.get(index, 0):
                 leaving.setdefault(index, row["t"])
         else:
             link = self._unheard.get(f"{row['b']}>list")
             at = min(link.over_at(row["t"]), row["t"] + TOLD_AT_LAST) if link else row["t"]
-            active = {uid_index(uid) for uid, state in row["states"] if state == "active"}
-            away = {uid_index(uid) for uid, state in row["states"] if state != "active"} - active
+            newest = self._newest.setdefault(row["b"], {})
+            active = set()
+            for uid, state in row["states"]:
+                if state == "active":
+                    active.add(uid_index(uid))
+                    newest[uid_index(uid)] = max(newest.get(uid_index(uid), 0), uid_process(uid))
+            # that a former process of a machine has left says nothing of the one that was named since
+            away = {uid_index(uid) for uid, state in row["states"]
+                    if state != "active" and uid_process(uid) >= newest.get(uid_index(uid), 0)} - active
             if row["whole"]:
                 away |= set(range(len(self._groups))) - active
             for index in active:
--- a/ospreyline/rig/registry.py
+++ b/ospreyline/rig/registry.py
@@ -7,6 +7,8 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import struct
 from typing import Any
 
 import httptools
@@ -15,6 +17,8 @@
 from ospreyline.lab.turns import Turns
 from ospreyline.rig.worker import Worker
 
+RESETS = struct.pack("ii", 1, 0)  # SO_LINGER: a close is a reset
+LOST_BUT_FOR = (0, 1, 4, 0, 40)  # bytes of a writing that arrive before the reset that takes the rest away
 EMPTY_LINE = 2_000.0  # ms between two lines of a watch that has nothing to tell
 
 
@@ -103,6 +107,13 @@
                 status, word, fields, len(body), body))
             self.transport.close()
 
+    def reset(self) -> None:
+        """End the connection by a reset, not in order."""
+        if self.transport is not None and not self.transport.is_closing():
+            sock = self.transport.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESETS)
+            self.transport.abort()
+
     def chunk(self, data: bytes) -> None:
         if self.transport is not None and not self.transport.is_closing():
             self.transport.write(b"%x\r\n%b\r\n" % (len(data), data))
@@ -127,6 +138,7 @@
         self.faults: dict[str, int] = {}  # how many faults of a kind are on
         self._swapped: dict[str, str] = {}  # by id: the machine that is named in place of its own
         self._due = False
+        self._lost = 0  # writings so far
 
     async def begin(self) -> None:
         await self._listen()
@@ -177,7 +189,20 @@
             return
         call.watching = True
         call.rev = self.listing.rev
-        call.chunk(line)
+        self._write(call, line)
+
+    def _write(self, call: Call, line: bytes) -> None:
+        """A line goes out, or is lost on its way; either way it has been written."""
+        if not self._on("registry-lost"):
+            call.chunk(line)
+            return
+        call.watching = False
+        arrives = LOST_BUT_FOR[self._lost % len(LOST_BUT_FOR)]
+        self._lost += 1
+        if arrives and call.transport is not None and not call.transport.is_closing():
+            call.transport.write((b"%x\r\n%b\r\n" % (len(line), line))[:arrives])
+        # the bytes that arrive are on their way before the reset is
+        self.worker.clock.after(1.0 if arrives else 0.0, call.reset)
 
     def _line(self, call: Call, whole: bool, entries: list[dict[str, Any]]) -> bytes:
         rev = 1 if self._on("registry-back") else self.listing.rev
@@ -203,8 +228,8 @@
         for call in list(self.open):
             if call.watching and call.rev < self.listing.rev:
                 entries = self.listing.since(call.rev) or []
-                call.chunk(self._line(call, False, entries))
                 call.rev = self.listing.rev
+                self._write(call, self._line(call, False, entries))
 
     async def told(self, order: dict[str, Any]) -> None:
         if order["do"] == "change":
--- a/ospreyline/rig/relays.py
+++ b/ospreyline/rig/relays.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import asyncio
+import select
 import socket
 import struct
 from collections import deque
@@ -38,6 +39,13 @@
     left: int  # how many more of them
 
 
+def _was_reset(transport: asyncio.Transport) -> bool:
+    """Whether an error is pending on a connection whose end has been read."""
+    look = select.poll()
+    look.register(transport.get_extra_info("socket").fileno(), 0)
+    return any(events & select.POLLERR for _, events in look.poll(0))
+
+
 class Side(asyncio.Protocol):
     """One end of a connection through a link; `way` is where its bytes go."""
 
@@ -45,6 +53,7 @@
         self.pair = pair
         self.way = way
         self.transport: asyncio.Transport | None = None
+        self.reset = False  # by its other end, though that was told as an end in order
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport) or hasattr(transport, "write")
@@ -55,12 +64,16 @@
         self.pair.came(self.way, data)
 
     def eof_received(self) -> bool:
+        # guards: the loop library takes a reset that comes right behind bytes for an end in order
+        self.reset = self.transport is not None and _was_reset(self.transport)
+        if self.reset:
+            return False
         self.pair.came(self.way, None)
         return True  # the other way may go on
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.transport = None
-        self.pair.lost(self.way, exc is not None)
+        self.pair.lost(self.way, exc is not None or self.reset)
 
     def pause_writing(self) -> None:
         self.pair.pause(self.way, True)
@@ -227,8 +240,11 @@
         self.out.clear()
 
     def _close(self) -> None:
-        """Both sides end."""
+        """Both sides end: in order, or by a reset where the server reset it."""
         self._over(self.ender)
+        if self.ender == "broken":
+            # guards: passed on as an end in order, a reset would hide that something can be lost
+            self._reset(self.near)
         for side in (self.near, self.far):
             if side.transport is not None:
                 side.transport.close()
--- a/ospreyline/rig/scenario.py
+++ b/ospreyline/rig/scenario.py
@@ -107,6 +107,7 @@
     "registry-full": "the list service answers 503 to every call",
     "registry-hang": "the list service sends a head and then nothing",
     "registry-half": "the list service sends half a list and closes",
+    "registry-lost": "what the list service writes is lost: a reset takes it away, but for some bytes",
     "registry-back": "the list service tells a list older than the one it told before",
     "registry-swap": "the list names the address of another upstream for part of the upstreams",
 }
@@ -128,6 +129,7 @@
     "registry-full": ((1, 10), (0, 0), (0, 0), (0, 0)),
     "registry-hang": ((1, 5), (0, 0), (0, 0), (0, 0)),
     "registry-half": ((1, 5), (0, 0), (0, 0), (0, 0)),
+    "registry-lost": ((0.5, 4), (0, 0), (0, 0), (0, 0)),
 }
 FAULTS = {**{kind: words.FAULTS[kind] for kind in SHARED}, **OWN,
           MOVED: "balancers get a new address of the list service by SIGHUP; the old one closes after 1.5 s"}
--- a/tests/test_referee.py
+++ b/tests/test_referee.py
@@ -80,6 +80,11 @@
       attempt(1_651.0, sent=1_590.0)], "drain", "1100 ms after"),
     ([row("told", 500.0, b="b0", rev=2, whole=True, states=[("s-1-1", "active")]), *fetch(1_600, end=1_650),
       attempt(1_651.0, sent=1_590.0)], "drain", "1100 ms after"),
+    # the latest process of its machine drains
+    ([row("told", 300.0, b="b0", rev=2, whole=False, states=[("s-0-2", "active")]),
+      row("told", 400.0, b="b0", rev=3, whole=False, states=[("s-0-1", "left")]),
+      row("told", 500.0, b="b0", rev=4, whole=False, states=[("s-0-2", "leaving")]), *fetch(1_600, end=1_650),
+      attempt(1_651.0, sent=1_590.0)], "drain", "1100 ms after"),
     ([row("fault", 400.0, on=1, kind="drop", links=["b0>list"]),
       row("told", 500.0, b="b0", rev=2, whole=False, states=[("s-0-1", "left")]), *fetch(7_200, end=7_250),
       attempt(7_251.0, sent=7_190.0)], "drain", "700 ms after"),
@@ -99,6 +104,10 @@
 
 
 @pytest.mark.parametrize("rows", [
+    # a former process of a machine has left, as the list notices after its successor was named
+    [row("told", 400.0, b="b0", rev=2, whole=False, states=[("s-0-2", "active")]),
+     row("told", 500.0, b="b0", rev=3, whole=False, states=[("s-0-1", "left")]),
+     *fetch(1_600, end=1_650), attempt(1_651.0, sent=1_590.0)],
     # never ran: sent on
     [*fetch(1_010, end=1_020, status=503, never=True), *fetch(1_030, link="b0>u1", end=1_100),
      attempt(1_101.0)],
