--- a/tests/test_calls_we_end.py
+++ b/tests/test_calls_we_end.py
@@ -18,6 +18,7 @@
 import asyncio
 import os
 from collections.abc import Awaitable, Callable
+from math import inf
 
 import pytest
 from stand_ins import Peer, Registry, ok, running, target
@@ -173,3 +174,28 @@
 
 def test_news_that_lies_unread_in_a_call_that_has_waited_too_long_is_read():
     ended_with_news_unread(it_has_waited_for_too_long)
+
+
+def test_an_older_list_ends_no_doubt_about_a_newer_one():
+    # two calls are out, one has told a newer version and is cut off: what the other tells is passed over as
+    # older, and ended the doubt all the same
+    async def story() -> None:
+        registry, elsewhere = await Registry().start(), await Registry().start()
+        peers = [Peer(ok(b"0")), Peer(ok(b"1"))]
+        async with running(*peers, registry=registry) as service:
+            day = Day(service, registry, elsewhere, peers)
+            await registry.say(listing(40))
+            while day.lists.rev != 40:
+                await asyncio.sleep(0)
+            day.lists.refresh()
+            await settled(registry, service, 2)
+            watch, plain = day.calls()
+            watch.data_received(chunk(listing(41)))
+            watch.data_received(b"9")  # a part of a chunk
+            watch.connection_lost(ConnectionResetError())
+            plain.number = day.lists.begun + 1  # as if it had been asked for after the loss
+            plain.data_received(day.whole() + END)  # of version 40
+            service.turn._turn()
+            assert service.turn.balancer.in_doubt.since < inf
+
+    play(story)
