A list that is passed over as older ends no doubt

Cause: Discovery.told reported every list as arrived, also one that _take had passed over as older than what another call had told, or as the start of a new count; asked for after a loss, it ended the doubt. Change: such a list ends nothing.

--- a/ospreyline/net/discovery.py
+++ b/ospreyline/net/discovery.py
@@ -235,7 +235,9 @@
             self._whole_due, latest = True, self.begun
             self._take(call, news)  # it asks for the whole list
             return self._progress(Lost(call.number, WHOLE_LIST, latest, True))
-        self._take(call, news)
+        if not self._take(call, news):
+            # guards: an older list would end a doubt about a newer one
+            return self._progress(Nothing(call.number))
         version = self.rev if news is None else news.rev
         whole = news is not None and (news.whole or not call.watching)
         self._progress(Arrived(call.number, version, whole))
@@ -257,12 +259,13 @@
                 self._whole_due = True
                 self.refresh()
 
-    def _take(self, call: ListCall, news: News | None) -> None:
+    def _take(self, call: ListCall, news: News | None) -> bool:
+        """Hand on what a call has told; False if it was older than what is known."""
         call.spoken = True
         if call is self._former:
             if news is not None:
                 self._tell(news)
-            return
+            return True
         if self._unspoken and call in (*self._unspoken, self._watch):
             for other in (*self._unspoken, self._watch):
                 if other is not None and other is not call:
@@ -284,7 +287,7 @@
             self.log.warning("an older list was passed over", rev=news.rev, had=call.newer, whole=news.whole)
             if not call.watching and self._whole_due:
                 call.stop("older than what was told meanwhile", CallEnd.LEFT)
-            return
+            return False
         elif news.rev < self.rev:
             # nobody told anything since this call began: the service counts anew
             self.log.warning("the list went back", rev=news.rev, had=self.rev, whole=news.whole)
@@ -294,7 +297,7 @@
                 self._tell(News(news.rev, False, [t for t in news.targets if t[0].state != "active"]))
                 self.rev, self._whole_due = 0, True
                 call.stop("it counts anew", CallEnd.LEFT)
-                return
+                return False
         if news.whole or not call.watching:
             self._whole_due = False  # a plain call is told all that there is, whatever it says of itself
             for other in [c for c in self._calls if not c.watching and c is not call]:
@@ -306,6 +309,7 @@
         self._tell(news)
         if self._whole_due and all(c.watching for c in self._calls):
             self.refresh()  # guards: who is gone need not be among the changes
+        return True
 
     def ended(self, call: ListCall, why: str) -> None:
         if call in self._left:
