--- a/ospreyline/rig/referee.py
+++ b/ospreyline/rig/referee.py
@@ -226,7 +226,7 @@
                 if row["how"] == "answer" and fetch["first"] > at + self._slack:
                     self._found("lost", fetch["first"], "sent on after its final answer", row["id"],
                                 fetch["b"], fetch["u"])
-                elif fetch["first"] > until[row["id"]] + self._slack:
+                elif fetch["first"] > max(until[row["id"]], self._passed_on(row["b"], sent)) + self._slack:
                     self._found("lost", fetch["first"], "sent on after its client's time", row["id"],
                                 fetch["b"], fetch["u"])
             terms = self._terms[row["prefix"]]
@@ -309,6 +309,11 @@
                     self._found("taken", fetch["first"], f"sent after {other['b']} had taken it", id_,
                                 fetch["b"], fetch["u"])
 
+    def _passed_on(self, balancer: int, sent: float) -> float:
+        """When a link passed on what its client sent, which is the first that the balancer can know of it."""
+        link = self._links.get(f"c>b{balancer}")
+        return link.over_at(sent) if link else sent
+
     # drains
 
     def _drains(self, rows: Sequence[Row], fetches: Mapping[str, list[dict[str, Any]]]) -> None:
--- a/tests/test_referee.py
+++ b/tests/test_referee.py
@@ -66,6 +66,11 @@
     ([attempt(2_050.0, prefix="read", how="none", status=0, b=1), *fetch(2_100, link="b1>u0", prefix="read"),
       row("signal", 2_000.0, name="b1", what="stop"), row("signal", 2_060.0, name="b1", what="go on")],
      "lost", "after its client's time"),
+    # long after a link had passed it on
+    ([row("fault", 900.0, on=1, kind="drop", links=["c>b0"]), row("fault", 3_000.0, on=-1, kind="drop",
+                                                                  links=["c>b0"]),
+      attempt(2_050.0, prefix="read", how="none", status=0), *fetch(4_500, prefix="read")],
+     "lost", "after its client's time"),
     ([*fetch(1_010), *fetch(1_200, link="b0>u1", end=1_300), attempt(1_301.0)], "twice", "may have run"),
     ([*fetch(1_010, prefix="read", end=1_400), *fetch(1_100, link="b0>u1", prefix="read", end=1_300),
       attempt(1_401.0, prefix="read")], "twice", "while the first is out"),
@@ -104,6 +109,10 @@
 
 
 @pytest.mark.parametrize("rows", [
+    # a link held a request back until its client's time was over; the balancer sent it on at once
+    [row("fault", 900.0, on=1, kind="drop", links=["c>b0"]),
+     row("fault", 3_000.0, on=-1, kind="drop", links=["c>b0"]),
+     attempt(2_050.0, prefix="read", how="none", status=0), *fetch(3_005, prefix="read")],
     # a former process of a machine has left, as the list notices after its successor was named
     [row("told", 400.0, b="b0", rev=2, whole=False, states=[("s-0-2", "active")]),
      row("told", 500.0, b="b0", rev=3, whole=False, states=[("s-0-1", "left")]),
