Test of odd list lines: the stand-in answers calls for the whole list, as a list service does

Its stand-in took a call for the whole list for a watch and wrote its next lines to whichever call had come last. A list service answers such a call with the whole list and its end.

Change: the stand-in does so, with the list of before the change or after it, as chance has it. What stood in the test unwritten, that requests are kept back until then and that a later part with a higher version does not end that, has a test of its own now.

--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -193,13 +193,20 @@
 
 
 class Registry(Peer):
-    """Discovery: every watch stays open and is told what the story tells."""
+    """Discovery: every watch stays open and is told what the story tells.
+
+    `plain`: what a call for the whole list is answered with; without it such a call stands like a watch.
+    """
+
+    plain: bytes | None = None
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
             self.requests.append(await read_message(reader))
             if self.answers[0] == RESET:
                 writer.transport.abort()
+            elif self.plain is not None and b"?watch=1" not in self.requests[-1][0]:
+                writer.write(ok(self.plain))
             else:
                 writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
                 self.writers.append(writer)
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -13,6 +13,7 @@
 from contextlib import suppress
 from math import inf
 from pathlib import Path
+from typing import Any
 
 import pytest
 from click.testing import CliRunner
@@ -28,6 +29,10 @@
 from ospreyline.net.turn import FORGET, clock
 
 
+def whole_list(rev: int, *targets: dict[str, Any]) -> bytes:
+    return json.dumps({"rev": rev, "all": True, "targets": targets}).encode() + b"\n"
+
+
 async def status_of(service, path="/health/ready"):
     return (await (await caller(service)).ask(f"GET {path} HTTP/1.1\r\nHost: x\r\n\r\n".encode()))[0]
 
@@ -66,8 +71,11 @@
         registry, peer = Registry(), Peer()
         async with running(peer, registry=registry) as service:
             client = await caller(service)
-            await registry.say(line)
             other = await Peer(ok(b"other")).start()
+            registry.plain = whole_list(9, target("u0", peer.port))
+            await registry.say(line)
+            # whoever asks for the whole list because of the line is answered, as of before the change or after it
+            registry.plain = whole_list(10, target("u9", other.port))
             await registry.tell(10, target("u9", other.port), target("u0", peer.port, state="left"))
             while b"other" not in (await client.ask(request()))[2]:
                 await registry.until(lambda: bool(registry.writers))
@@ -79,6 +87,34 @@
     play(story)
 
 
+def test_entries_that_name_nobody_keep_requests_back_until_the_whole_list_has_come():
+    async def story():
+        registry, peer = Registry(), Peer()
+        async with running(peer, registry=registry) as service:
+            client = await caller(service)
+            await registry.say(b'{"rev":9,"all":false,"targets":[{"uid":7}]}\n')
+            await registry.until(lambda: len(registry.writers) == 2)
+            assert b"?watch=1" not in registry.requests[1][0]
+            watch, plain = registry.writers
+            # it may be about u0, which drains then
+            while (answer := await client.ask(request()))[0] == 200:
+                await asyncio.sleep(0.01)
+            assert answer[0] == 503
+            # a later part has not what that one had, whatever its version
+            registry.writers[:] = [watch]
+            await registry.tell(10, target("u9", peer.port))
+            while service.turn.discovery.rev != 10:
+                await asyncio.sleep(0.01)
+            assert (await client.ask(request()))[0] == 503
+            registry.writers[:] = [plain]
+            await registry.tell(11, target("u0", peer.port), whole=True)
+            plain.write(b"0\r\n\r\n")
+            while (await client.ask(request()))[0] != 200:
+                await asyncio.sleep(0.01)
+
+    play(story)
+
+
 @pytest.mark.parametrize("how", ["reset", "ends", "silent"])
 def test_a_watch_that_fails_is_asked_again(how, monkeypatch):
     async def story():
