Stories of the list service: a watch that stands says so every second

Cause: test_a_service_that_works_calls_off_in_turn_has_told_everybody_in_time timed out once in the whole run beside busy processes. Traced with a start of 0.6 s between its eight processes: the watches of its list service said nothing after their first line, so that a balancer, as it has to, took one for broken after 2.5 s and called again; the story waited for exactly eight calls, had more, and waited for ever. On a quiet machine the eight start in about 2 s, beside others in more.

Change: the service writes an empty line each second on a watch that stands, as the operators' does every 2 s, in all three stories that wait so. No bound has changed.

--- a/tests/test_list_answers.py
+++ b/tests/test_list_answers.py
@@ -36,6 +36,7 @@
 TOLD_AT_LAST = 6.0  # s after which a change counts as told, if the list service could be reached
 CROWDED = 1.6  # s for which the service turns all calls away after the broken answer
 TURNED_AWAY_AFTER = 0.2  # s that a call waits until it is
+EMPTY_LINE_EVERY = 1.0  # s on a watch
 DEADLINE = 5.0  # s that a client waits
 PROCESSES = 3
 
@@ -70,8 +71,9 @@
 class Call:
     """One call that came to the list service."""
 
-    def __init__(self, balancer: int, writer: asyncio.StreamWriter) -> None:
+    def __init__(self, balancer: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.balancer = balancer
+        self.reader = reader
         self.writer = writer
         self.open = True
 
@@ -79,6 +81,16 @@
         if self.open:
             self.writer.write(data)
 
+    async def stand(self, line: bytes) -> None:
+        """Answer as a watch that stands: a line at once, and empty ones for as long as both sides are there.
+
+        Without these the balancer takes it for broken after 2.5 s, and calls again.
+        """
+        self.write(HEAD + chunk(line))
+        while not self.writer.is_closing() and not self.reader.at_eof():
+            self.write(chunk(b"\n"))
+            await asyncio.sleep(EMPTY_LINE_EVERY)
+
     def list(self, rev: int, targets: list[dict[str, Any]], whole: bool = True) -> bytes:
         return json.dumps({"rev": rev, "all": whole, "targets": targets}).encode() + b"\n"
 
@@ -100,7 +112,7 @@
         call = None
         with suppress(asyncio.IncompleteReadError, ConnectionError):
             await read_message(reader)
-            call = Call(self.balancer, writer)
+            call = Call(self.balancer, reader, writer)
             self.calls.append(call)
             found = self.serve(call)
             if found is not None:
@@ -289,8 +301,8 @@
 
         async def serve(call: Call) -> None:
             if not draining:
-                call.write(HEAD + chunk(call.list(3, day.known)))
                 standing.append(call)
+                await call.stand(call.list(3, day.known))
             elif call.balancer not in told:
                 told[call.balancer] = time.monotonic()
                 line = words(day, call)
@@ -340,9 +352,8 @@
 
         async def serve(call: Call) -> None:
             if not changed:
-                call.write(HEAD + chunk(call.list(3, day.known)))
                 standing.append(call)
-                return
+                return await call.stand(call.list(3, day.known))
             await asyncio.sleep(needs)
             call.write(HEAD + chunk(call.list(4, day.known[1:])))
 
@@ -383,9 +394,8 @@
 
         async def serve(call: Call) -> None:
             if not changed:
-                call.write(HEAD + chunk(call.list(3, day.known)))
                 standing.append(call)
-                return
+                return await call.stand(call.list(3, day.known))
             await queue.turn()
             call.write(HEAD + chunk(call.list(4, day.known[1:])))
 
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -74,7 +74,7 @@
             other = await Peer(ok(b"other")).start()
             registry.plain = whole_list(9, target("u0", peer.port))
             await registry.say(line)
-            # whoever asks for the whole list because of the line is answered, as of before the change or after it
+            # whoever asks for the whole list because of the line is answered, as before the change or after
             registry.plain = whole_list(10, target("u9", other.port))
             await registry.tell(10, target("u9", other.port), target("u0", peer.port, state="left"))
             while b"other" not in (await client.ask(request()))[2]:
