--- a/ospreyline/indoubt.py
+++ b/ospreyline/indoubt.py
@@ -19,8 +19,9 @@
 # the last look and the first byte; the rest is for the turns of its event loop
 HELD_UP = 2 * 150.0 + 100.0
 WHOLE_LIST = 1 << 62  # as a version: only the whole list has as much
-# ms after a watch, or a call that waits, has fallen silent, from which on what it misses counts as told,
-# whether or not it arrived: so the page on the standing test has it
+# ms after which a change counts as told by a service that can be reached, whether or not it arrived: from the
+# last word of a call that fell silent, or from when the list was last known to be the service's. So the page
+# on the standing test has it
 TOLD_AT_LAST = 6_000.0
 LONGEST = 4.0  # of the settings' time for asking, for which a list may be used after a failed call
 # ms for which it counts that a call was reset of which nothing came: a service that goes down resets all of
@@ -59,15 +60,19 @@
 class InDoubt:
     """The updates of one balancer that are in doubt, and since when."""
 
-    __slots__ = ("_allowance", "_arriving", "_longest", "_longest_unseen", "_seen", "_silent",
-                 "_unseen", "since")
+    __slots__ = ("_allowance", "_arriving", "_current_at", "_longest", "_longest_unseen", "_may_be_down",
+                 "_seen", "_unseen", "_untold", "since")
 
     def __init__(self) -> None:
         self.since = inf  # the oldest update in doubt began to arrive then; inf: there is none
         self._arriving: dict[int, float] = {}  # by call: its unfinished update began to arrive then
         self._seen = _Loss()  # a part of them came
         self._unseen = _Loss()  # nothing of them came, and there may have been none
-        self._silent = _Loss()  # what calls that were silent have missed; counts from a time ahead
+        # what calls have missed that were silent or turned away; counts from a time that may lie ahead
+        self._untold = _Loss()
+        # up to then the list was the service's; None: this process has not heard from it
+        self._current_at: float | None = None
+        self._may_be_down = False  # the service, as far as is known since the last answer
         self._allowance = self._longest = 0.0
         self._longest_unseen = LONGEST_UNSEEN
 
@@ -81,7 +86,7 @@
         if now - self.since < self._allowance:
             return False
         # guards: a list service that broke off an answer and then died would keep everything out for good
-        seen = min(self._seen.since, self._silent.since, *self._arriving.values(), inf)
+        seen = min(self._seen.since, self._untold.since, *self._arriving.values(), inf)
         return (self._allowance <= now - seen < self._longest
                 or self._allowance <= now - self._unseen.since < min(self._longest_unseen, self._longest))
 
@@ -95,24 +100,42 @@
         self._arriving.pop(call, None)
         self._sum_up()
 
-    def arrived(self, call: int, version: int, whole: bool) -> None:
+    def arrived(self, now: float, call: int, version: int, whole: bool) -> None:
         """An update has come whole, or the word that there is none; `whole`: it is the whole list."""
+        self.current(now)
+        self._may_be_down = False
         self._arriving.pop(call, None)
         if self._seen.settled_by(call, version, whole):
             self._seen = _Loss()
-        if self._silent.settled_by(call, version, whole):
-            self._silent = _Loss()
+        if self._untold.settled_by(call, version, whole):
+            self._untold = _Loss()
         if self._unseen.settled_by(call, version, whole):
             self._unseen, self._longest_unseen = _Loss(), LONGEST_UNSEEN
         self._sum_up()
 
     def fell_silent(self, since: float, call: int) -> None:
         """A call has been ended that had said nothing since a time, and may be broken."""
-        self._silent.add(since + TOLD_AT_LAST, 0, call)
+        self._untold.add(since + TOLD_AT_LAST, 0, call)
         self._sum_up()
 
+    def current(self, now: float) -> None:
+        """All that the service has told has been read, as when a watch has ended in order."""
+        self._current_at = now
+
+    def unreachable(self, now: float) -> None:
+        """No connection to the service could be made: what changes meanwhile counts from its return on."""
+        if self._current_at is not None:
+            self._current_at = now
+
     def turned_away(self, now: float, call: int) -> None:
         """The service answers a call, and has too many."""
+        # guards: a service that can be reached has told each change 6 s after it was made, though it answers
+        # nobody, and what was changed before this process began may be told already. But one that goes down
+        # resets its calls, and a proxy before it may turn away all that come
+        if not self._may_be_down:
+            untold = now if self._current_at is None else self._current_at + TOLD_AT_LAST
+            self._untold.add(untold, 0, 0)  # whatever comes later has the news, on a call of before, too
+            self._sum_up()
         if call > self._unseen.latest and now - self._unseen.since < LONGEST_UNSEEN:
             self._longest_unseen = LONGEST_UNSEEN_IF_UP
 
@@ -123,9 +146,10 @@
         `latest`: the number of the latest call that has begun. `seen`: a part of it came.
         """
         loss = self._seen if seen else self._unseen
+        self._may_be_down = self._may_be_down or not seen
         loss.add(self._arriving.pop(call, now), version, latest)
         self._sum_up()
 
     def _sum_up(self) -> None:
-        self.since = min(self._seen.since, self._silent.since, self._unseen.since, *self._arriving.values(),
+        self.since = min(self._seen.since, self._untold.since, self._unseen.since, *self._arriving.values(),
                          inf)
--- a/ospreyline/net/discovery.py
+++ b/ospreyline/net/discovery.py
@@ -20,6 +20,7 @@
 MOST_WAITING = 3  # calls that wait for their first byte at a time
 MOST_LEFT = 3  # calls that we have ended and read on
 READ_ON = QUIET  # s for which that is done
+IN_ORDER = (CallEnd.COMPLETE, CallEnd.CLOSED)
 
 
 @dataclass(slots=True, frozen=True)
@@ -73,7 +74,17 @@
     age: float
 
 
-Progress = Arriving | Arrived | Lost | Nothing | TurnedAway | Silent
+@dataclass(slots=True, frozen=True)
+class EndedInOrder:
+    """A watch has ended, and all that was written on it was read."""
+
+
+@dataclass(slots=True, frozen=True)
+class Unreachable:
+    """No connection to the service could be made."""
+
+
+Progress = Arriving | Arrived | Lost | Nothing | TurnedAway | Silent | EndedInOrder | Unreachable
 
 
 @dataclass(slots=True, frozen=True)
@@ -315,8 +326,7 @@
         if call in self._left:
             return self._left_ended(call)
         lost = self._lost(call)
-        if call.end is CallEnd.TURNED_AWAY:
-            self._progress(TurnedAway(call.number))
+        self._tell_of_the_service(call)
         self._drop(call)
         alone = self._step_down(call)
         if why and (alone or lost or call.watching):
@@ -325,6 +335,15 @@
             seen = lost and call.end is not CallEnd.UNKNOWN
             self._tell_failed(CallFailure(call.retry_after, lost, seen, call.turned_away))
 
+    def _tell_of_the_service(self, call: ListCall) -> None:
+        """What the end of a call says of the service: whether it is there, and what is read of it."""
+        if call.end is CallEnd.TURNED_AWAY:
+            self._progress(TurnedAway(call.number))
+        elif call.end is CallEnd.NOT_ASKED:
+            self._progress(Unreachable())
+        elif call.watching and call.spoken and call.at == self.at and call.end in IN_ORDER:
+            self._progress(EndedInOrder())
+
     def _step_down(self, call: ListCall) -> bool:
         """A call gives up its part; whether no other one that is out does it."""
         if call is self._former:
--- a/ospreyline/net/list_call.py
+++ b/ospreyline/net/list_call.py
@@ -32,6 +32,7 @@
     NOT_ASKED = "its request never left"
     TURNED_AWAY = "the service had no list for it"
     COMPLETE = "all that the service wrote was read"
+    UNREADABLE = "an update came whole, and cannot be read"
     CLOSED = "closed in order, nothing of an update was unread"
     CUT_OFF = "a part of an update came, and not the rest"
     UNKNOWN = "reset; what was written before it may be lost"
@@ -276,7 +277,7 @@
             self.owner.told(self, news)
         else:
             # guards: a lost change would be news never told; asking again brings it
-            self.stop(cut_off_by or "unreadable line", CallEnd.CUT_OFF if cut_off_by else CallEnd.COMPLETE)
+            self.stop(cut_off_by or "unreadable line", CallEnd.CUT_OFF if cut_off_by else CallEnd.UNREADABLE)
 
     def stop(self, why: str, end: CallEnd = CallEnd.COMPLETE) -> None:
         """The call is over; a reason says that it failed."""
--- a/ospreyline/net/turn.py
+++ b/ospreyline/net/turn.py
@@ -29,11 +29,13 @@
     Arriving,
     CallFailure,
     Discovery,
+    EndedInOrder,
     Lost,
     Nothing,
     Progress,
     Silent,
     TurnedAway,
+    Unreachable,
 )
 from ospreyline.net.events import EventLog
 from ospreyline.net.listing import News, Target, read
@@ -589,7 +591,7 @@
             case Arriving(call):
                 in_doubt.arriving(now, call)
             case Arrived(call, version, whole):
-                in_doubt.arrived(call, version, whole)
+                in_doubt.arrived(now, call, version, whole)
             case Lost(call, version, latest, seen):
                 in_doubt.lost(now, call, version, latest, seen)
                 self.logger.warning("list update in doubt", call=call, rev=version or None, seen=seen,
@@ -597,7 +599,13 @@
             case Nothing(call):
                 in_doubt.nothing(call)
             case TurnedAway(call):
-                in_doubt.turned_away(now, call)
+                # guards: each change of a pushed list counts as told at once, watched or not
+                if self._post.terms.ask_for_list:
+                    in_doubt.turned_away(now, call)
+            case EndedInOrder():
+                in_doubt.current(now)
+            case Unreachable():
+                in_doubt.unreachable(now)
             case Silent(call, age):
                 in_doubt.fell_silent(now - 1e3 * age, call)
                 self.logger.info("list call was silent", call=call, s=round(age, 1))
--- a/tests/test_silent_list.py
+++ b/tests/test_silent_list.py
@@ -36,19 +36,26 @@
 from ospreyline.net.discovery import Discovery, Progress, Silent
 from ospreyline.net.list_call import MOST_WAIT, CallEnd
 
+END = b"0\r\n\r\n"
 BACK = 8.5  # s after the last word, from when on calls are answered again
 
 
 def silent(speaks_first: bool, folder: Path) -> None:
     async def story() -> None:
-        last_word = 0.0
+        last_word, calls = 0.0, 0
 
         async def serve(call: Call) -> None:
-            nonlocal last_word
-            if not last_word:
+            nonlocal last_word, calls
+            calls += 1
+            if calls == 1:
+                call.write(HEAD + chunk(call.list(3, day.known)))
+                if not speaks_first:
+                    await day.holds(lambda: day.all_served_by(b"draining", 0.0))
+                    call.write(END)
+                    call.writer.close()
                 last_word = time.monotonic()
-                if speaks_first:
-                    call.write(HEAD + chunk(call.list(3, day.known)))
+            elif calls == 2 and not speaks_first:
+                return  # it waits
             elif time.monotonic() < last_word + BACK:
                 await asyncio.sleep(TURNED_AWAY_AFTER)
                 call.write(BUSY)
