Pushed lists keep their longer doubt after a reset; a call that never connects is unreachable

And a list service of which no connection comes up at all (no refusal either) was not told as unreachable, so that its return could find the 6 s over.

Change: the two are separate (turned_away, kept_from_us); a call given up without a connection tells Unreachable. Tests of the steps that Discovery tells: a watch that ended in order, a refused connection, one that never came up, a line that cannot be read.

--- a/ospreyline/indoubt.py
+++ b/ospreyline/indoubt.py
@@ -129,16 +129,20 @@
 
     def turned_away(self, now: float, call: int) -> None:
         """The service answers a call, and has too many."""
-        # guards: a service that can be reached has told each change 6 s after it was made, though it answers
-        # nobody, and what was changed before this process began may be told already. But one that goes down
-        # resets its calls, and a proxy before it may turn away all that come
-        if not self._may_be_down:
-            untold = now if self._current_at is None else self._current_at + TOLD_AT_LAST
-            self._untold.add(untold, 0, 0)  # whatever comes later has the news, on a call of before, too
-            self._sum_up()
         if call > self._unseen.latest and now - self._unseen.since < LONGEST_UNSEEN:
             self._longest_unseen = LONGEST_UNSEEN_IF_UP
 
+    def kept_from_us(self, now: float) -> None:
+        """The service is there, and does not tell the list to who asks for it."""
+        # guards: it has told each change 6 s after it was made, though it answers nobody, and what changed
+        # before this process began may be told already. But one that goes down resets its calls, and a proxy
+        # before it may turn away all that come
+        if self._may_be_down:
+            return
+        untold = now if self._current_at is None else self._current_at + TOLD_AT_LAST
+        self._untold.add(untold, 0, 0)  # whatever comes later has the news, on a call of before, too
+        self._sum_up()
+
     def lost(self, now: float, call: int, version: int, latest: int, seen: bool = True) -> None:
         """An update may have been written on a call that did not arrive, or a part of it cannot be read.
 
--- a/ospreyline/net/discovery.py
+++ b/ospreyline/net/discovery.py
@@ -373,8 +373,8 @@
         for call in list(self._calls):
             # guards: timers come before sockets, and what lies unread there counts as told
             if call.silent(now) and not call.unread():
-                if call.transport is not None:
-                    self._progress(Silent(call.number, now - call.heard))
+                connected = call.transport is not None
+                self._progress(Silent(call.number, now - call.heard) if connected else Unreachable())
                 call.stop("silent", CallEnd.LEFT)
         for call in list(self._left):
             if call.left_at is not None and now - call.left_at > READ_ON and not call.unread():
--- a/ospreyline/net/turn.py
+++ b/ospreyline/net/turn.py
@@ -599,9 +599,10 @@
             case Nothing(call):
                 in_doubt.nothing(call)
             case TurnedAway(call):
+                in_doubt.turned_away(now, call)
                 # guards: each change of a pushed list counts as told at once, watched or not
                 if self._post.terms.ask_for_list:
-                    in_doubt.turned_away(now, call)
+                    in_doubt.kept_from_us(now)
             case EndedInOrder():
                 in_doubt.current(now)
             case Unreachable():
--- a/tests/test_indoubt.py
+++ b/tests/test_indoubt.py
@@ -221,6 +221,7 @@
                 found.lost(now, call, version=0, latest=call, seen=False)
             case "503":
                 found.turned_away(now, call)
+                found.kept_from_us(now)
             case "ended in order":
                 found.current(now)
             case "refused":
--- a/tests/test_list_turned_away.py
+++ b/tests/test_list_turned_away.py
@@ -15,9 +15,13 @@
 
 import asyncio
 import time
+from collections.abc import Callable
 from pathlib import Path
 
 import pytest
+import structlog
+from stand_ins import Registry, target
+from test_descriptors import PATIENT
 from test_list_answers import (
     BUSY,
     GRACE,
@@ -31,6 +35,8 @@
     play,
 )
 
+from ospreyline.net.discovery import Discovery, EndedInOrder, Progress, Unreachable
+
 AWAY = 8.5  # s for which the service turns all calls away
 END = b"0\r\n\r\n"
 
@@ -77,3 +83,35 @@
 @pytest.mark.parametrize("watch_ends", [True, False], ids=["a-watch-that-ended", "a-new-process"])
 def test_nothing_is_sent_once_a_change_counts_as_told_though_calls_are_turned_away(watch_ends, tmp_path):
     turned_away(watch_ends, tmp_path)
+
+
+def test_a_watch_that_ends_in_order_and_a_refused_connection_are_told_as_such():
+    async def story() -> None:
+        registry = Registry()
+        await registry.start()
+        steps: list[Progress] = []
+        lists = Discovery(asyncio.get_running_loop(), ("127.0.0.1", registry.port), 3, structlog.get_logger(),
+                          lambda news: None, lambda failure: None, steps.append)
+        lists.watch(True)
+        await registry.tell(4, target("u0", 1))
+        registry.writers[-1].write(END)
+        await wait_for(lambda: EndedInOrder() in steps)
+        registry.server.close()
+        lists.watch(True)
+        await wait_for(lambda: Unreachable() in steps)
+        # one whose last line cannot be read has told something that we do not know
+        steps.clear()
+        await registry.start()
+        lists.move(("127.0.0.1", registry.port))
+        await registry.say(b'{"rev":5}\n')
+        await wait_for(lambda: not lists.watching)
+        assert EndedInOrder() not in steps
+        lists.close()
+
+    play(story)
+
+
+async def wait_for(condition: Callable[[], bool]) -> None:
+    async with asyncio.timeout(PATIENT):
+        while not condition():
+            await asyncio.sleep(0.005)
--- a/tests/test_silent_list.py
+++ b/tests/test_silent_list.py
@@ -33,7 +33,7 @@
     play,
 )
 
-from ospreyline.net.discovery import Discovery, Progress, Silent
+from ospreyline.net.discovery import Discovery, Nothing, Progress, Unreachable
 from ospreyline.net.list_call import MOST_WAIT, CallEnd
 
 END = b"0\r\n\r\n"
@@ -100,7 +100,7 @@
         call.since = call.heard = loop.time() - MOST_WAIT - 1.0
         lists.tidy()
         assert call.end is CallEnd.LEFT and not lists._calls
-        assert not [step for step in progress if isinstance(step, Silent)]
+        assert progress == [Unreachable(), Nothing(call.number)]
         lists.close()
 
     play(story)
