--- a/ospreyline/indoubt.py
+++ b/ospreyline/indoubt.py
@@ -132,15 +132,15 @@
         if call > self._unseen.latest and now - self._unseen.since < LONGEST_UNSEEN:
             self._longest_unseen = LONGEST_UNSEEN_IF_UP
 
-    def kept_from_us(self, now: float) -> None:
+    def kept_from_us(self) -> None:
         """The service is there, and does not tell the list to who asks for it."""
-        # guards: it has told each change 6 s after it was made, though it answers nobody, and what changed
-        # before this process began may be told already. But one that goes down resets its calls, and a proxy
-        # before it may turn away all that come
-        if self._may_be_down:
+        # guards: it has told each change 6 s after it was made, though it answers nobody. But where it is
+        # down, what stands before it may turn calls away; it reset its calls then, or this process has not
+        # heard from it yet and cannot know
+        if self._may_be_down or self._current_at is None:
             return
-        untold = now if self._current_at is None else self._current_at + TOLD_AT_LAST
-        self._untold.add(untold, 0, 0)  # whatever comes later has the news, on a call of before, too
+        # whatever comes later has the news, on a call of before, too
+        self._untold.add(self._current_at + TOLD_AT_LAST, 0, 0)
         self._sum_up()
 
     def lost(self, now: float, call: int, version: int, latest: int, seen: bool = True) -> None:
--- a/ospreyline/net/turn.py
+++ b/ospreyline/net/turn.py
@@ -602,7 +602,9 @@
                 in_doubt.turned_away(now, call)
                 # guards: each change of a pushed list counts as told at once, watched or not
                 if self._post.terms.ask_for_list:
-                    in_doubt.kept_from_us(now)
+                    in_doubt.kept_from_us()
+                if since == inf and in_doubt.since < inf:
+                    self.logger.info("list goes out of date", in_ms=round(in_doubt.since - now))
             case EndedInOrder():
                 in_doubt.current(now)
             case Unreachable():
