--- a/tests/test_calls_we_end.py
+++ b/tests/test_calls_we_end.py
@@ -21,13 +21,15 @@
 from math import inf
 
 import pytest
-from stand_ins import Peer, Registry, ok, running, target
+import structlog
+from stand_ins import Peer, Registry, ok, read_message, running, target
 from test_clients import play
 from test_lists import END, chunk, listing, settled
 from test_service import moved
 
 from ospreyline.host import Readiness
 from ospreyline.net import discovery as discovery_module
+from ospreyline.net.discovery import Arriving, CallFailure, Discovery, Lost
 from ospreyline.net.list_call import MOST_WAIT, ListCall
 from ospreyline.net.service import Service
 
@@ -199,3 +201,42 @@
             assert service.turn.balancer.in_doubt.since < inf
 
     play(story)
+
+
+class Stubborn(Registry):
+    """A list service that goes on with a call though we have ended our side of it."""
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.requests.append(await read_message(reader))
+        writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        self.writers.append(writer)
+        self.changed.set()
+
+
+@pytest.mark.parametrize("limit, value", [("READ_ON", 0.1), ("MOST_LEFT", 0)])
+def test_a_part_of_an_update_that_we_read_no_further_is_in_doubt(limit, value, monkeypatch):
+    # the rest of what the service has written on it may name a server that drains
+    monkeypatch.setattr(discovery_module, limit, value)
+
+    async def story():
+        service, steps, failures = Stubborn(), [], []
+        await service.start()
+        lists = Discovery(asyncio.get_running_loop(), ("127.0.0.1", service.port), 3, structlog.get_logger(),
+                          lambda news: None, failures.append, steps.append)
+        lists.watch(True)
+        await service.until(lambda: len(service.writers) == 1)
+        service.writers[0].write(b'20\r\n{"rev":50,"all":false,')
+        while Arriving(1) not in steps:
+            await asyncio.sleep(0.005)
+        lists.watch(True)
+        await service.until(lambda: len(service.writers) == 2)
+        await service.say(listing(40))
+        while Lost(1, 50, 2, seen=True) not in steps:
+            lists.tidy()
+            await asyncio.sleep(0.005)
+        assert failures == [CallFailure(lost=True, seen=True)]
+        # the other call goes on, and is the later one that can settle it
+        assert [call.number for call in lists._calls] == [2] and not lists._left
+        lists.close()
+
+    play(story)
