Takeover story: a client bounced for want of room on a busy machine is followed to its answer

Traced in its records: the balancer that was asked again had a few requests out at upstreams that answered late (20 to 110 ms in place of 4, the machine was busy), had no room in time, and said so (nothing had run there, Retry-After 1 s). The client asked again under another id, which the test did not follow, and was answered with 200, 1.1 s after the kill.

Change: the test follows the request and not the id. As strict: 200 within 1.5 s of the cut, at most three sends in all, and a bounce in between says that nothing ran.

--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -396,6 +396,14 @@
     return sorted(day.of("try", id=id_), key=lambda row: row["t"])
 
 
+def tries_after_bounces(day: Played, first: dict[str, Any]) -> list[dict[str, Any]]:
+    """The tries that follow one; a client that is bounced for want of room asks again, under another id."""
+    found = sorted(day.of("try", want=first["want"]), key=lambda row: row["t"])[1:]
+    bounced = [row for row in found[:-1] if row["how"] == "answer"]
+    assert all(row["status"] == 503 and row["outcome"] == "" for row in bounced), found
+    return found
+
+
 def met(day: Played, kind: str) -> str:
     """The id of the visit whose request was seen."""
     (mark,) = day.of("seen")
@@ -417,8 +425,10 @@
         assert again[-1]["status"] == 502 and again[-1]["outcome"] == "may have run"
         assert len(day.of("asked", id=id_)) == 1 and len(day.of("ran", id=id_)) <= 1
     else:
+        again = tries_after_bounces(day, first)
         assert again[-1]["status"] == 200 and again[-1]["t"] - first["t"] < 1_500.0
-        assert 2 <= len(day.of("asked", id=id_)) <= 3
+        ids = {row["id"] for row in (first, *again)}
+        assert 2 <= sum(len(day.of("asked", id=one)) for one in ids) <= 3
 
 
 @pytest.mark.parametrize("kind", ["pay", "change"])
