Tests of the list service share how late requests are counted, and the last chunk

The same three lines stood in eight stories, and the last chunk in three files. They are Story.late and END now. The bounds are the same.

--- a/tests/test_call_ends.py
+++ b/tests/test_call_ends.py
@@ -25,9 +25,8 @@
 
 import pytest
 from stand_ins import reset
-from test_list_answers import BUSY, CROWDED, GRACE, HEAD, SLACK, TURNED_AWAY_AFTER, Call, Story, chunk, play
+from test_list_answers import BUSY, CROWDED, END, HEAD, TURNED_AWAY_AFTER, Call, Story, chunk, play
 
-END = b"0\r\n\r\n"  # of an answer in chunks
 WAITS = 0.3  # s that a call waits for the writing that is lost
 QUIET, CROWD = 0, 2  # calls that are turned away before
 
@@ -172,8 +171,7 @@
             if ending in CLOSED.values():
                 assert {status for status, _ in day.loads[0].since(0.0)} == {200}
                 return
-            late = [round(at - written, 3) for at in day.draining.times(0) if at > written + GRACE + SLACK]
-            assert not late, late
+            assert not day.late(written)
             # nobody was left waiting, and what was not served was told that trying again is harmless
             assert {status for status, _ in day.loads[0].since(written)} <= {200, 503}
 
--- a/tests/test_list_answers.py
+++ b/tests/test_list_answers.py
@@ -41,6 +41,7 @@
 PROCESSES = 3
 
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+END = b"0\r\n\r\n"  # the last chunk
 BUSY = b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"
 
 
@@ -252,6 +253,10 @@
                         load.task.result()
                 await asyncio.sleep(0.002)
 
+    def late(self, told: float, balancer: int = 0) -> list[float]:
+        """Requests of a balancer that came to the draining server after the grace: s since it was told."""
+        return [round(at - told, 3) for at in self.draining.times(balancer) if at > told + GRACE + SLACK]
+
     def all_served_by(self, body: bytes, since: float) -> bool:
         return all((200, body) in load.since(since) for load in self.loads)
 
@@ -331,9 +336,8 @@
             await day.holds(lambda: time.monotonic() > last + CROWDED)
             back = time.monotonic()
             await day.holds(lambda: day.all_served_by(b"staying", back))
-            late = [round(at - since, 3) for number, since in told.items()
-                    for at in day.draining.times(number) if at > since + GRACE + SLACK]
-            assert not late, late
+            late = [day.late(since, number) for number, since in told.items()]
+            assert not any(late), late
             # nobody was left waiting, and whatever was not served was told that trying again is harmless
             statuses = {status for load in day.loads for status, _ in load.since(last)}
             assert statuses <= {200, 503}
@@ -365,9 +369,8 @@
             for call in standing:
                 call.writer.close()
             await day.holds(lambda: time.monotonic() > changed + TOLD_AT_LAST + GRACE + 0.5)
-            late = [round(at - changed, 3) for number in range(len(day.loads))
-                    for at in day.draining.times(number) if at > changed + TOLD_AT_LAST + GRACE + SLACK]
-            assert not late, late
+            late = [day.late(changed + TOLD_AT_LAST, number) for number in range(len(day.loads))]
+            assert not any(late), late
             assert day.all_served_by(b"staying", changed + TOLD_AT_LAST)
 
     play(story)
@@ -407,8 +410,7 @@
             for call in standing:
                 call.writer.close()
             await day.holds(lambda: time.monotonic() > changed + TOLD_AT_LAST + GRACE + 0.5)
-            late = [round(at - changed, 3) for number in range(len(day.loads))
-                    for at in day.draining.times(number) if at > changed + TOLD_AT_LAST + GRACE + SLACK]
-            assert not late, late
+            late = [day.late(changed + TOLD_AT_LAST, number) for number in range(len(day.loads))]
+            assert not any(late), late
 
     play(story)
--- a/tests/test_list_read_late.py
+++ b/tests/test_list_read_late.py
@@ -12,7 +12,7 @@
 import time
 
 import pytest
-from test_list_answers import GRACE, HEAD, SLACK, Call, Load, Story, chunk, play
+from test_list_answers import HEAD, Call, Load, Story, chunk, play
 
 CLIENTS = 4  # that ask without a pause
 SETTLES = 0.4  # s after a stop, in which a misplaced request would show
@@ -55,8 +55,7 @@
                 version += 1
                 leaving = call.list(version, [{**day.known[0], "state": "leaving"}], whole=False)
                 written = await day.stop_while_written(chunk(leaving), stopped)
-                late = [at - written for at in day.draining.times(0) if at > written + GRACE + SLACK]
-                assert not late, late
+                assert not day.late(written)
                 version += 1
                 day.services[0].calls[-1].write(chunk(call.list(version, day.known)))
                 back = time.monotonic()
@@ -129,8 +128,7 @@
                 call.write(news)
                 written = time.monotonic()
                 await asyncio.sleep(HELD_UP_FOR + SETTLES)
-                late = [at - written for at in day.draining.times(0) if at > written + GRACE + SLACK]
-                assert not late, late
+                assert not day.late(written)
                 version += 1
                 call.write(chunk(call.list(version, day.known)))
                 back = time.monotonic()
--- a/tests/test_list_turned_away.py
+++ b/tests/test_list_turned_away.py
@@ -24,9 +24,8 @@
 from test_descriptors import PATIENT
 from test_list_answers import (
     BUSY,
-    GRACE,
+    END,
     HEAD,
-    SLACK,
     TOLD_AT_LAST,
     TURNED_AWAY_AFTER,
     Call,
@@ -38,7 +37,6 @@
 from ospreyline.net.discovery import Discovery, EndedInOrder, Progress, Unreachable
 
 AWAY = 8.5  # s for which the service turns all calls away
-END = b"0\r\n\r\n"
 
 
 def turned_away(watch_ends: bool, folder: Path) -> None:
@@ -70,8 +68,7 @@
             await day.holds(lambda: time.monotonic() > began + AWAY)
             back = time.monotonic()
             await day.holds(lambda: day.all_served_by(b"staying", back))
-            late = [round(at - told, 3) for at in day.draining.times(0) if at > told + GRACE + SLACK]
-            assert not late, late
+            assert not day.late(told)
             if watch_ends:  # until then it was allowed to be served, and it was
                 assert any(at > told - 0.5 for at in day.draining.times(0))
             # nobody was left waiting, and what was not served was told that trying again is harmless
--- a/tests/test_silent_list.py
+++ b/tests/test_silent_list.py
@@ -22,9 +22,8 @@
 from test_descriptors import PATIENT
 from test_list_answers import (
     BUSY,
-    GRACE,
+    END,
     HEAD,
-    SLACK,
     TOLD_AT_LAST,
     TURNED_AWAY_AFTER,
     Call,
@@ -37,7 +36,6 @@
 from ospreyline.net.list_call import MOST_WAIT, CallEnd
 
 STOOD, WAITS, WAITS_BEHIND = "a watch that stood", "a call that waits", "a call behind a watch that ended"
-END = b"0\r\n\r\n"
 BACK = 8.5  # s after the last word, from when on calls are answered again
 
 
@@ -73,8 +71,7 @@
             back = time.monotonic()
             await day.holds(lambda: day.all_served_by(b"staying", back))
             told = last_word + TOLD_AT_LAST  # of a drain that came in between
-            late = [round(at - told, 3) for at in day.draining.times(0) if at > told + GRACE + SLACK]
-            assert not late, late
+            assert not day.late(told)
             # until then it was allowed to be served, and it was; what was not served may be tried again
             assert any(at > told - 0.5 for at in day.draining.times(0))
             assert {status for status, _ in day.loads[0].since(last_word)} <= {200, 503}
