--- a/tests/test_list_read_late.py
+++ b/tests/test_list_read_late.py
@@ -8,10 +8,12 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import signal
 import time
 
 import pytest
+from stand_ins import Peer, Registry, running, target
 from test_list_answers import HEAD, Call, Load, Story, chunk, play
 
 CLIENTS = 4  # that ask without a pause
@@ -135,3 +137,25 @@
                 await day.holds(lambda since=back: day.all_served_by(b"draining", since))
 
     play(story)
+
+
+def test_what_is_put_off_until_the_list_is_read_waits_for_it_through_a_reload():
+    # a SIGHUP right behind a long stop: a reload takes a turn before the new settings and one after them, and
+    # the second carried out what the first had put off, with the news unread
+    async def story() -> None:
+        registry, peer = Registry(), Peer()
+        async with running(peer, registry=registry) as service:
+            turn = service.turn
+            await registry.tell(4, target("u0", peer.port))
+            while turn.discovery.rev != 4:
+                await asyncio.sleep(0)
+            known_at_the_act: list[int] = []
+            turn._to_do.append((lambda now: known_at_the_act.append(turn.discovery.rev), ()))
+            news = registry.writers[0].get_extra_info("socket").fileno()
+            os.write(news, chunk(b'{"rev":5,"all":false,"targets":[]}\n'))
+            turn.adopt(turn._post)
+            while not known_at_the_act:
+                await asyncio.sleep(0)
+            assert known_at_the_act == [5]
+
+    play(story)
