--- a/ospreyline/net/turn.py
+++ b/ospreyline/net/turn.py
@@ -270,6 +270,12 @@
         return now - self._turned > LATE and self.discovery.unread()
 
     def _turn(self) -> None:
+        self._take_turn(sockets_read=False)
+
+    def _turn_behind_sockets(self) -> None:
+        self._take_turn(sockets_read=True)
+
+    def _take_turn(self, sockets_read: bool) -> None:
         self._scheduled = False
         now = clock()
         if now - self._turned > STOOD:
@@ -283,18 +289,25 @@
             due, _, wake = heappop(self._wakes)
             self.lag = max(self.lag, now - due)
             self._tell(now, wake, ())
-        if self._to_do and not self._put_off and self.discovery.unread():
-            # guards: after a hold-up news may lie unread that was written longer ago than the grace of a
-            # drain. Once only: a list that keeps coming must not keep everything waiting
-            self._put_off = self._scheduled = True
-            self._loop.call_soon(self._loop.call_soon, self._turn)
-            return
+        if self._to_do and not sockets_read and (self._put_off or self.discovery.unread()):
+            return self._put_off_to_do()
         self._put_off = False
         to_do, self._to_do = self._to_do, []
         for act, args in to_do:
             self._tell(now, act, args)
         self._set_alarm(now)
 
+    def _put_off_to_do(self) -> None:
+        """What is to be done waits until the sockets have been read.
+
+        Guards: after a hold-up news may lie unread that was written longer ago than the grace of a drain.
+        Once only, as a list that keeps coming must not keep everything waiting; and a turn that a reload
+        takes meanwhile does not end the wait.
+        """
+        if not self._put_off:
+            self._loop.call_soon(self._loop.call_soon, self._turn_behind_sockets)
+        self._put_off = self._scheduled = True
+
     def _tell(self, now: float, call: Callable[..., None], args: tuple[Any, ...]) -> None:
         try:
             call(now, *args)
