Tests of steps of the list service: the unreadable line comes on a watch that has spoken; pushed lists

Cause: rereading. The check that a line which cannot be read is no end in order could not fail, as the watch had told nothing before it. That pushed lists are left out had no test.

Change: the watch speaks first; a test for both ways of discovery.

--- a/tests/test_list_turned_away.py
+++ b/tests/test_list_turned_away.py
@@ -16,11 +16,12 @@
 import asyncio
 import time
 from collections.abc import Callable
+from math import inf
 from pathlib import Path
 
 import pytest
 import structlog
-from stand_ins import Registry, target
+from stand_ins import Peer, Registry, running, target
 from test_descriptors import PATIENT
 from test_list_answers import (
     BUSY,
@@ -34,7 +35,7 @@
     play,
 )
 
-from ospreyline.net.discovery import Discovery, EndedInOrder, Progress, Unreachable
+from ospreyline.net.discovery import Arrived, Discovery, EndedInOrder, Progress, TurnedAway, Unreachable
 
 AWAY = 8.5  # s for which the service turns all calls away
 
@@ -100,7 +101,9 @@
         steps.clear()
         await registry.start()
         lists.move(("127.0.0.1", registry.port))
-        await registry.say(b'{"rev":5}\n')
+        await registry.tell(5, target("u0", 1))
+        await wait_for(lambda: lists.told_by_watch)
+        await registry.say(b'{"rev":6}\n')
         await wait_for(lambda: not lists.watching)
         assert EndedInOrder() not in steps
         lists.close()
@@ -108,6 +111,17 @@
     play(story)
 
 
+@pytest.mark.parametrize("how, counts_later", [("ask", True), ("push", False)])
+def test_a_pushed_list_counts_at_once_and_not_by_calls_that_are_turned_away(how, counts_later):
+    async def story() -> None:
+        async with running(Peer(), registry=Registry(), Discovery=how) as service:
+            service.turn._progress(0.0, Arrived(1, 3, False))
+            service.turn._progress(1.0, TurnedAway(2))
+            assert (service.turn.balancer.in_doubt.since < inf) is counts_later
+
+    play(story)
+
+
 async def wait_for(condition: Callable[[], bool]) -> None:
     async with asyncio.timeout(PATIENT):
         while not condition():
