--- a/review/common/stand_ins.py
+++ b/review/common/stand_ins.py
@@ -346,7 +346,7 @@
     def __init__(self, record: Record, folder: Path, number: int, settings: dict[str, Any]) -> None:
         self.record, self.folder = record, folder
         self.name = f"n{number}"
-        self.port = free_port()
+        self.port = 0
         self.settings = settings
         self.config = folder / f"{self.name}.json"
         self.log = folder / f"{self.name}.log"
@@ -612,6 +612,7 @@
     async def start_balancers(self, discovery_port: int | None = None) -> None:
         known = self.discovery.whole()
         for balancer in self.balancers:
+            balancer.port = free_port()  # all stand-ins have theirs by now
             balancer.configure(discovery_port or self.discovery.port, known)
             await balancer.start()
         for balancer in self.balancers:
