Bound what peers can make a balancer hold, over all connections together

Cause: every limit was one of a single message. The sum was not bounded for heads, bodies, trailers and chunks of clients, heads and chunks of upstreams, unread answers and lines of the list service. Beside that, a field was two objects and a tuple, a chunk an object; one read brought up to 250 KB before the head was checked, and kept the event loop as long; a rejected request was kept until its connection had lingered.

Change: fields and bodies are kept in one buffer each, checked as they come, and freed at a rejection. Each part charges a budget over all connections (net/memory.py); over it the largest incomplete holder goes: 503 for a request of which nothing was forwarded, malformed for an answer, a close for a client that does not read. `counts` has the most that each part held. Why it works: what is charged is at least what is kept, and every holder is charged.

In test_upstreams.py two names of the same budget changed, and servers whose connection was closed are no longer written to, as the balancer now closes it some iterations earlier.

--- a/ospreyline/net/clients.py
+++ b/ospreyline/net/clients.py
@@ -20,6 +20,8 @@
 import httptools
 
 from ospreyline.net.events import EventLog
+from ospreyline.net.memory import PeerBudgets
+from ospreyline.net.reading import ReadScheduler
 from ospreyline.net.sockets import discard_unread, shutdown_now, unacknowledged
 from ospreyline.net.upstreams import HOP_BY_HOP, MAX_BODY_BYTES, MAX_HEAD_BYTES, MAX_RAW_BYTES, unread
 
@@ -48,6 +50,10 @@
         b"host",
     )
 )
+# header fields whose values matter here
+READ_FIELDS = SINGLE_VALUE_FIELDS | {b"connection", b"expect", b"x-second-try"}
+# fields that the effect of a request depends on; Connection must not name them
+END_TO_END_FIELDS = frozenset((b"x-trace-id", b"idempotency-key", b"host"))
 TCP_INFO_LAST_RECEIVED = struct.Struct("52xI")  # tcpi_last_data_recv (ms) in the kernel's `struct tcp_info`
 REQUEST_ID = re.compile(rb"[!-~]{1,128}")
 
@@ -66,6 +72,7 @@
     is_repeat: bool
     # its client got no answer to an earlier request with this id and asks again for the outcome
     asks_for_outcome: bool = False
+    held_bytes: int = 0  # charged to the memory budget of requests
 
     def head(self) -> bytes:
         """Request line and header fields to send to an upstream, without the final blank line."""
@@ -106,7 +113,7 @@
     )
 
 
-class ClientConnection(asyncio.Protocol):
+class ClientConnection(asyncio.BufferedProtocol):
     """One client connection."""
 
     def __init__(self, clients: ClientListener) -> None:
@@ -117,6 +124,8 @@
         self.current_request: Request | None = None  # the request that is waiting for its answer
         self.tag = -1  # the visit's tag at the handler
         self._parser: Any = httptools.HttpRequestParser(self)
+        self._read_bytes = 0  # of the read that is being parsed
+        self.held_bytes = 0  # of the request that is being received, charged to the memory budget
         self._unhandled: deque[Request | BadRequest] = deque()
         self.has_requested = False  # has sent at least one whole request
         self._trailing_bytes = 0  # received after its last answer
@@ -126,13 +135,19 @@
         self._reset_request()
 
     def _reset_request(self) -> None:
-        self._path = b""
-        self._fields: list[tuple[bytes, bytes]] = []
-        self._body: list[bytes] = []
-        self._raw_bytes = self._body_bytes = 0
+        self._free_buffers()
+        self._raw_bytes = self._head_bytes = 0
         self._head_done = False
         self.spared_once = False  # was overdue once, with unread bytes in its socket
 
+    def _free_buffers(self) -> None:
+        # field by field and chunk by chunk these would be objects of many times their size
+        self._path = b""
+        self._forwarded_fields = bytearray()  # as received
+        self._field_values: dict[bytes, bytes] = {}  # of READ_FIELDS, by name
+        self._connection_options: set[bytes] = set()  # fields that Connection names
+        self._body = bytearray()
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
         self.clients.open[self] = None
@@ -159,7 +174,13 @@
             or (self._reading and not self._finished)
         )
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        return self.clients.reads.buffer()
+
+    def buffer_updated(self, nbytes: int) -> None:
+        self.data_received(self.clients.reads.received(nbytes, self.transport))
+
+    def data_received(self, data: memoryview) -> None:
         if self._finished or not self._keep_alive:
             # data after the last request that is answered on this connection
             self._trailing_bytes += len(data)
@@ -167,6 +188,7 @@
                 # without this limit, reading on a body of 60 MB takes CPU time that other clients need
                 self.close("too much behind its last answer")
             return
+        self._read_bytes = len(data)
         self._raw_bytes += len(data)
         try:
             self._parser.feed_data(data)
@@ -187,11 +209,39 @@
             self._reject(cause if isinstance(cause, BadRequest) else BadRequest(400))
         except BadRequest as error:
             self._reject(error)
+        if self._reading:
+            # a bound on what parser and connection hold of the request
+            self._charge(self._raw_bytes)
         self._handle_next()
 
+    def _charge(self, held: int) -> None:
+        """Charge the request that is being received with `held` bytes in all."""
+        budget = self.clients.budgets.requests
+        budget.charge(held - self.held_bytes)
+        self.held_bytes = held
+        if budget.exceeded:
+            self.clients.reject_largest_requests()
+
+    def _release(self) -> None:
+        """Free what was received of a request."""
+        self.clients.budgets.requests.charge(-self.held_bytes)
+        self.held_bytes = 0
+        self._free_buffers()
+
+    def reject_over_budget(self) -> None:
+        """Reject the request that is being received; nothing of it was forwarded."""
+        self._reject(BadRequest(503))
+        self._handle_next()
+
+    def is_receiving(self) -> bool:
+        """Whether a part of a request has been received, and not the rest."""
+        return self._reading and not self._finished
+
     def _reject(self, error: BadRequest) -> None:
         """Reject a request after which nothing more can be parsed: its answer is the connection's last."""
         self._reading = False
+        self._release()
+        self._parser = None  # holds a part of a header field
         self._unhandled.append(error)
         self._finished = True
 
@@ -201,69 +251,85 @@
         if self.current_request is not None or self._unhandled:
             # Requests are accepted one at a time: pipelining could bring hundreds at once. None of those that
             # arrived together is forwarded.
-            self._unhandled.clear()
+            self._drop_unhandled()
             raise BadRequest(400)
         self._reset_request()
+        self._raw_bytes = self._read_bytes
         self._reading = True
         self.state_since = self.clients.loop.time()
 
     def on_url(self, url: bytes) -> None:
         self._path += url
+        self._count_head(len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        if not self._head_done:
-            self._fields.append((name, value))
+        if self._head_done:
+            return  # trailers are not forwarded
+        self._count_head(len(name) + len(value))
+        lower_name = name.lower()
+        if lower_name in READ_FIELDS:
+            if lower_name in self._field_values and lower_name in SINGLE_VALUE_FIELDS:
+                raise BadRequest(400)
+            self._field_values[lower_name] = value
+            if lower_name == b"connection":
+                self._connection_options |= {part.strip() for part in value.lower().split(b",")}
+        if lower_name not in REPLACED_FIELDS:
+            self._forwarded_fields += b"%b: %b\r\n" % (name, value)
+
+    def _count_head(self, count: int) -> None:
+        """Checked with each field: one read can bring thousands of them."""
+        self._head_bytes += count
+        if self._head_bytes > MAX_HEAD_BYTES:
+            raise BadRequest(431)
 
     def on_headers_complete(self) -> None:
         self._head_done = True
-        if len(self._path) + sum(len(name) + len(value) for name, value in self._fields) > MAX_HEAD_BYTES:
-            raise BadRequest(431)
-        named: dict[bytes, bytes] = {}
-        for name, value in self._fields:
-            lower_name = name.lower()
-            if lower_name in named and lower_name in SINGLE_VALUE_FIELDS:
-                raise BadRequest(400)
-            named[lower_name] = value
-        if b"content-length" in named and b"transfer-encoding" in named:
+        values = self._field_values
+        if b"content-length" in values and b"transfer-encoding" in values:
             raise BadRequest(400)
-        if named.get(b"transfer-encoding", b"chunked").lower() != b"chunked":
+        if values.get(b"transfer-encoding", b"chunked").lower() != b"chunked":
             raise BadRequest(501)
-        if int(named.get(b"content-length", b"0")) > MAX_BODY_BYTES:
+        if int(values.get(b"content-length", b"0")) > MAX_BODY_BYTES:
             raise BadRequest(413)
         if (
-            named.get(b"expect", b"").lower() == b"100-continue"
+            values.get(b"expect", b"").lower() == b"100-continue"
             and self.transport is not None
             and self.current_request is None
         ):
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, body: bytes) -> None:
-        self._body_bytes += len(body)
-        if self._body_bytes > MAX_BODY_BYTES:
+        if len(self._body) + len(body) > MAX_BODY_BYTES:
             raise BadRequest(413)
-        self._body.append(body)
+        self._body += body
 
     def on_message_complete(self) -> None:
         self._reading = False
         self.has_requested = True
         keep = self._parser.should_keep_alive()
         try:
-            self._unhandled.append(self._parse_request())
+            request = self._parse_request()
+            self._unhandled.append(request)
         except BadRequest as error:
             self._unhandled.append(error)
+        else:
+            request.held_bytes = len(request.path) + len(request.fields) + len(request.body)
+            self.clients.budgets.requests.charge(request.held_bytes)
+        self._release()
         if not keep:
             self._keep_alive = False
 
+    def _forwardable_fields(self) -> bytes:
+        """The received fields without those that Connection names."""
+        removed = self._connection_options - END_TO_END_FIELDS - REPLACED_FIELDS
+        if not removed:
+            return bytes(self._forwarded_fields)
+        lines = bytes(self._forwarded_fields).split(b"\r\n")
+        kept = [line for line in lines if line.partition(b":")[0].lower() not in removed]
+        return b"\r\n".join(kept)
+
     def _parse_request(self) -> Request:
-        values = {}
-        removed = set(REPLACED_FIELDS)
-        for name, value in self._fields:
-            lower_name = name.lower()
-            values[lower_name] = value
-            if lower_name == b"connection":
-                # a client must not name fields in Connection that the effect of its request depends on
-                named = {part.strip() for part in value.lower().split(b",")}
-                removed |= named - {b"x-trace-id", b"idempotency-key", b"host"}
+        values = self._field_values
         method = self._parser.get_method()
         if method == b"GET" and self._path in HEALTH_PATHS:
             return Request(method, self._path, b"", b"", NO_PREFIX, b"", None, False)
@@ -295,8 +361,8 @@
         return Request(
             method=method,
             path=self._path,
-            fields=b"".join(b"%b: %b\r\n" % f for f in self._fields if f[0].lower() not in removed),
-            body=b"".join(self._body),
+            fields=self._forwardable_fields(),
+            body=bytes(self._body),
             prefix_index=prefix_index,
             request_id=request_id,
             time_left=left,
@@ -304,6 +370,12 @@
             asks_for_outcome=again == b"same",
         )
 
+    def _drop_unhandled(self) -> None:
+        for found in self._unhandled:
+            if isinstance(found, Request):
+                self.clients.release_request(found)
+        self._unhandled.clear()
+
     # visits and their answers
 
     def _handle_next(self) -> None:
@@ -314,15 +386,21 @@
                 self.clients.handler.counts[f"door_{found.status}"] += 1
                 self.write_answer(response(found.status, b"", b"", self._is_last_answer()))
             elif found.prefix_index == NO_PREFIX:
+                self.clients.release_request(found)
                 ok = found.path != b"/health/ready" or self.clients.handler.ready()
                 status, body = (200, b"ok\n") if ok else (503, b"not ready\n")
                 self.write_answer(response(status, b"", body, self._is_last_answer()))
+            elif self.clients.over_request_budget():
+                self.clients.release_request(found)
+                self.clients.handler.counts["door_503"] += 1
+                self.write_answer(response(503, b"", b"", self._is_last_answer()))
             else:
                 self.current_request = found
                 if not self.clients.handler.accept_request(found, self):
                     # Another open request has this id: forwarding it would send an upstream a second copy,
                     # and a client asking again for the id could get the wrong answer.
                     self.current_request = None
+                    self.clients.release_request(found)
                     self.clients.handler.counts["door_409"] += 1
                     self.write_answer(response(409, b"", b"", self._is_last_answer()))
 
@@ -346,6 +424,8 @@
         last = self._is_last_answer()
         self.state_since = self.clients.loop.time()
         transport.write(data)
+        if transport.get_write_buffer_size():
+            self.clients.bound_unsent(self)
         if last:
             self.start_lingering_close()
 
@@ -417,7 +497,9 @@
         self.clients.remove(self)
         self._parser = None  # breaks a reference cycle, so that no garbage collection is needed
         self._finished = True
-        self._unhandled.clear()
+        self._drop_unhandled()
+        self._release()
+        self.clients.unsent.pop(self, None)
         self._notify_left()
 
     def is_overdue(self, now: float) -> bool:
@@ -449,13 +531,18 @@
         loop: asyncio.AbstractEventLoop,
         handler: VisitHandler,
         max_open: int,
+        budgets: PeerBudgets,
+        reads: ReadScheduler,
         events: EventLog | None = None,
     ) -> None:
         self.loop = loop
+        self.budgets = budgets
+        self.reads = reads
         self.events = events
         self.handler = handler
         self.max_open = max_open
         self.open: dict[ClientConnection, None] = {}
+        self.unsent: dict[ClientConnection, int] = {}  # bytes of answers that these have not read yet
         # evicted; their descriptors are freed in the next loop iteration
         self.evicted: dict[ClientConnection, None] = {}
         self._accepting = 0  # number accepted, but not yet in `open`
@@ -543,6 +630,44 @@
         client.close("made room for another")
         return True
 
+    # memory
+
+    def release_request(self, request: Request) -> None:
+        """Release what a request that is over was charged."""
+        self.budgets.requests.charge(-request.held_bytes)
+        request.held_bytes = 0
+
+    def over_request_budget(self) -> bool:
+        """Whether the requests exceed their memory budget, also without those that are still received."""
+        if self.budgets.requests.exceeded:
+            self.reject_largest_requests()
+        return self.budgets.requests.exceeded
+
+    def reject_largest_requests(self) -> None:
+        """Reject the largest requests that are still received, until the budget is kept."""
+        while self.budgets.requests.exceeded:
+            receiving = [client for client in self.open if client.is_receiving() and client.held_bytes]
+            if not receiving:
+                return
+            self.handler.counts["over_request_memory"] += 1
+            max(receiving, key=lambda client: client.held_bytes).reject_over_budget()
+
+    def bound_unsent(self, client: ClientConnection) -> None:
+        """Keep the unsent answers within their budget: close the clients that hold the most."""
+        self.unsent[client] = 0
+        self.unsent = {
+            each: size
+            for each in self.unsent
+            if each.transport is not None and (size := each.transport.get_write_buffer_size())
+        }
+        budget = self.budgets.unsent
+        budget.charge(sum(self.unsent.values()) - budget.held)
+        while budget.exceeded and self.unsent:
+            largest = max(self.unsent, key=self.unsent.__getitem__)
+            budget.charge(-self.unsent.pop(largest))
+            self.handler.counts["over_unsent_memory"] += 1
+            largest.close("its unread answers exceed the memory for them")
+
     def _pause_accepting(self, sock: socket.socket) -> None:
         """Pause accepting for a moment; otherwise a failing accept would make the event loop spin."""
         self.loop.remove_reader(sock)
--- a/ospreyline/net/discovery.py
+++ b/ospreyline/net/discovery.py
@@ -28,9 +28,11 @@
 )
 from ospreyline.net.list_call import SILENCE_TIMEOUT_S, CallEnd, ListCall
 from ospreyline.net.listing import Entry, ListUpdate, Log
+from ospreyline.net.memory import MemoryBudget
 
 MAX_UNANSWERED_WATCHES = 3
 MAX_HALF_CLOSED = 3  # calls that we have ended and still read
+DEFAULT_BUFFERED_BYTES = 12 << 20
 READ_AFTER_CLOSE_S = SILENCE_TIMEOUT_S  # for so long they are read
 
 
@@ -61,6 +63,7 @@
         on_update: Callable[[ListUpdate], None],
         on_failure: Callable[[CallFailure], None],
         on_lease_message: Callable[[LeaseMessage], None] = lambda message: None,
+        budget: MemoryBudget | None = None,
     ) -> None:
         self.loop = loop
         self.at = at
@@ -69,6 +72,8 @@
         self._on_update = on_update
         self._on_failure = on_failure
         self._on_lease_message = on_lease_message
+        # of unfinished updates on all calls together
+        self.budget = budget or MemoryBudget(DEFAULT_BUFFERED_BYTES)
         self._calls: dict[ListCall, asyncio.Task[None]] = {}
         self._half_closed: list[ListCall] = []  # ended by us and still read, oldest first
         self._watch: ListCall | None = None  # the latest one
--- a/ospreyline/net/dispatcher.py
+++ b/ospreyline/net/dispatcher.py
@@ -29,6 +29,8 @@
 from ospreyline.net.discovery import CallFailure, ListClient
 from ospreyline.net.events import EventLog
 from ospreyline.net.listing import ListUpdate, Target, parse_update
+from ospreyline.net.memory import PeerBudgets
+from ospreyline.net.reading import ReadScheduler
 from ospreyline.net.upstreams import (
     Answer,
     ConnectionPools,
@@ -163,13 +165,16 @@
         ) // 2
         self.max_clients = max_per_side
         self._watch_retry_ms, self._random = WATCH_RETRY_MS, Random(config.seed + 2).random
+        self.budgets = PeerBudgets.of(config.memory_bytes)
+        self.reads = ReadScheduler(loop)
         self.upstreams = ConnectionPools(
             loop,
             clock,
             max_per_side,
             config.connect_timeout_ms,
             config.upstream_keepalive_ms,
-            config.memory_bytes // 8,
+            self.budgets.answers,
+            self.reads,
             self.events,
         )
         if operator is not None:
@@ -188,6 +193,7 @@
             on_update=self._enqueue_list_update,
             on_failure=lambda failure: self.enqueue(self._on_list_call_failed, failure),
             on_lease_message=lambda message: self.enqueue(self._on_lease_message, message),
+            budget=self.budgets.list_updates,
         )
         self._configure_discovery()
         now = clock()
@@ -370,6 +376,7 @@
         actions, self._pending_actions = self._pending_actions, []
         for act, args in actions:
             self._run_guarded(now, act, args)
+        self.upstreams.release_answers()
         self._schedule_loop_timer(now)
 
     def _defer_actions(self) -> None:
@@ -438,9 +445,12 @@
     def accept_request(self, request: Request, client: ClientConnection) -> bool:
         """Start a visit for a request, or join it to its open visit; False if its id is in use otherwise."""
         if request.request_id in self._open_ids:
-            return self.takeover_adapter is not None and self.takeover_adapter.join_visit_in_progress(
+            joined = self.takeover_adapter is not None and self.takeover_adapter.join_visit_in_progress(
                 request, client
             )
+            if joined:
+                self._release_request(request)
+            return joined
         self._open_ids.add(request.request_id)
         self._last_tag += 1
         prefix_settings = self._config.deployment.prefixes[request.prefix_index]
@@ -450,6 +460,11 @@
         self.enqueue(self._begin_visit, pending)
         return True
 
+    def _release_request(self, request: Request) -> None:
+        """Release the memory that a request was charged when it was received."""
+        self.budgets.requests.charge(-request.held_bytes)
+        request.held_bytes = 0
+
     def client_left(self, client: ClientConnection) -> None:
         """Record that the client of a visit has disconnected."""
         pending = self.visits.get(client.tag)
@@ -646,6 +661,7 @@
     def _discard_visit(self, pending: PendingVisit) -> None:
         if self.visits.pop(pending.tag, None) is not None:
             self._open_ids.discard(pending.request.request_id)
+            self._release_request(pending.request)
             if self.takeover_adapter is not None:
                 self.takeover_adapter.remove(pending.tag)
         if pending.backstop_timer is not None:
--- a/ospreyline/net/list_call.py
+++ b/ospreyline/net/list_call.py
@@ -15,6 +15,7 @@
 import httptools
 
 from ospreyline.net.listing import ListUpdate, Log, open_brackets, parse_update, version_of
+from ospreyline.net.memory import MemoryBudget
 from ospreyline.net.sockets import failed
 from ospreyline.net.upstreams import unread
 
@@ -56,6 +57,7 @@
     loop: asyncio.AbstractEventLoop
     log: Log
     service_may_be_slow: bool  # the service may need seconds for an answer
+    budget: MemoryBudget  # of unfinished updates on all calls together
 
     def update_arriving(self, call: ListCall) -> None:
         """The first bytes of an answer, or of an update, have come."""
@@ -100,6 +102,7 @@
         self._buffer = bytearray()  # behind the last whole line
         self._object_lines: list[bytes] = []  # of an object that spans several lines, so far
         self._open_brackets = self._object_bytes = 0  # in those lines
+        self._held_bytes = 0  # charged to the memory budget
         self._head_done = self._chunked = self._has_length = self._in_chunk = False
         self._status = 0
         self._partial_frame = False  # a part of a head or of a chunk has come, and not the rest
@@ -152,6 +155,7 @@
     def abort(self) -> None:
         """Ends the call; nothing more is read of it."""
         self.over = True
+        self._charge(0)
         if self.transport is not None:
             self.transport.abort()
 
@@ -211,15 +215,23 @@
         if self.rejected:
             return
         self._buffer += body
-        if self.watching:
+        if self.watching and b"\n" in body:
             # a chunk may end anywhere in a line
             *lines, rest = self._buffer.split(b"\n")
             self._buffer = rest
             for line in lines:
                 if not self.over:
                     self._read_line(bytes(line))
-        if len(self._buffer) + self._object_bytes > MAX_LINE_BYTES:
+        self._charge(len(self._buffer) + self._object_bytes)
+        if self._held_bytes > MAX_LINE_BYTES:
             self.stop("a line without an end", CallEnd.TRUNCATED)
+        elif self.owner.budget.exceeded:
+            self.stop("no memory for the rest of its update", CallEnd.TRUNCATED)
+
+    def _charge(self, held: int) -> None:
+        """Charge the unfinished update with `held` bytes in all."""
+        self.owner.budget.charge(held - self._held_bytes)
+        self._held_bytes = held
 
     def on_message_complete(self) -> None:
         if self.rejected:
--- a/ospreyline/net/service.py
+++ b/ospreyline/net/service.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import gc
+import resource
 import signal
 import statistics
 import sys
@@ -49,7 +50,12 @@
         self._log = structlog.get_logger()
         self.dispatcher = EventDispatcher(loop, config, operator)
         self.clients = ClientListener(
-            loop, self.dispatcher, self.dispatcher.max_clients, self.dispatcher.events
+            loop,
+            self.dispatcher,
+            self.dispatcher.max_clients,
+            self.dispatcher.budgets,
+            self.dispatcher.reads,
+            self.dispatcher.events,
         )
         self.at = config.listen
         self._maintenance_rounds = 0
@@ -164,6 +170,8 @@
             clients=len(self.clients.open),
             connections=len(dispatcher.upstreams.open),
             lag_ms=round(dispatcher.max_timer_lag_ms, 1),
+            peak_memory_mb=resource.getrusage(resource.RUSAGE_SELF).ru_maxrss >> 10,
+            **dispatcher.budgets.most_held_kb(),
             **figures,
             **dict(sorted(dispatcher.counts.items())),
             **(dispatcher.bank.counts() if dispatcher.bank is not None else {}),
--- a/ospreyline/net/upstreams.py
+++ b/ospreyline/net/upstreams.py
@@ -20,6 +20,8 @@
 from ospreyline.config import REPORT_WORDS
 from ospreyline.host import End
 from ospreyline.net.events import EventLog
+from ospreyline.net.memory import MemoryBudget
+from ospreyline.net.reading import ReadScheduler
 from ospreyline.net.sockets import failed, shutdown_now
 
 MAX_BODY_BYTES = 65_536
@@ -220,7 +222,7 @@
             self.end(ExchangeFailure(self.stage, FailureReason.WITHDRAWN))
 
 
-class UpstreamConnection(asyncio.Protocol):
+class UpstreamConnection(asyncio.BufferedProtocol):
     """One connection to an upstream; it carries one exchange at a time."""
 
     def __init__(self, pool: ConnectionPool) -> None:
@@ -230,14 +232,15 @@
         self.transport: asyncio.Transport | None = None
         self.last_used = 0.0  # time of its last whole answer
         self._parser: Any = httptools.HttpResponseParser(self)
-        self._raw_bytes = self._body_bytes = 0
+        self._raw_bytes = 0
+        self.held_bytes = 0  # of the answer that is being received, charged to the memory budget
         self._reset_response()
 
     def _reset_response(self) -> None:
-        self.pool.pools.buffered_bytes -= self._body_bytes
-        self._fields: list[bytes] = []
-        self._body: list[bytes] = []
-        self._body_bytes = 0
+        # field by field and chunk by chunk these would be objects of many times their size
+        self._fields = bytearray()
+        self._body = bytearray()
+        self._head_bytes = 0
         self._head_done = self._has_length = self._body_until_eof = self._never_ran = self._keep_alive = False
         self._load_report = self._connection = b""
         self._answer: Answer | None = None
@@ -267,6 +270,7 @@
     def close(self, why: str) -> None:
         self.exchange = None
         self.pool.remove(self)
+        self._release()
         if self.transport is None:
             return
         if not self.transport.is_closing():
@@ -279,7 +283,13 @@
 
     # receiving
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        return self.pool.pools.reads.buffer()
+
+    def buffer_updated(self, nbytes: int) -> None:
+        self.data_received(self.pool.pools.reads.received(nbytes, self.transport))
+
+    def data_received(self, data: memoryview) -> None:
         exchange = self.exchange
         if exchange is None:  # unexpected bytes would be taken for the start of the next answer
             self.close("bytes that nobody asked for")
@@ -302,6 +312,20 @@
             self._complete(
                 exchange, keep=self._keep_alive and self.write_buffer_empty() and not exchange.head_only
             )
+            return
+        # a bound on what parser and connection hold
+        pools = self.pool.pools
+        pools.budget.charge(self._raw_bytes - self.held_bytes)
+        self.held_bytes = self._raw_bytes
+        if pools.budget.exceeded:
+            pools.fail_largest_answers()
+
+    def _release(self) -> None:
+        """Free what was received of an answer."""
+        self.pool.pools.budget.charge(-self.held_bytes)
+        self.held_bytes = 0
+        self._fields, self._body = bytearray(), bytearray()
+        self._parser = None  # breaks a reference cycle, so that no garbage collection is needed
 
     def _complete(self, exchange: Exchange, keep: bool) -> None:
         answer = self._answer
@@ -314,6 +338,9 @@
             self.pool.release(self)
         else:
             self.close("not kept by its last answer")
+        size = len(answer.head) + len(answer.body)
+        self.pool.pools.answer_complete(size - self.held_bytes, size)
+        self.held_bytes = 0
         exchange.end(answer)
 
     def eof_received(self) -> bool:
@@ -329,9 +356,7 @@
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self.pool.pools.buffered_bytes -= self._body_bytes
-        self._body_bytes = 0
-        self._parser = None  # breaks a reference cycle, so that no garbage collection is needed
+        self._release()
         self.pool.remove(self)
         if self.exchange is not None:
             self.exchange.fail(FailureReason.BROKEN)
@@ -346,6 +371,9 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         if self._head_done:
             return  # trailers are ignored
+        self._head_bytes += len(name) + len(value)
+        if self._head_bytes > MAX_HEAD_BYTES:
+            raise ValueError("head too large")  # stops the parser
         known = name.lower()
         if known in (b"content-length", b"transfer-encoding"):
             self._has_length = True
@@ -363,7 +391,7 @@
         elif known == b"connection":
             self._connection = value.lower()
         elif known not in HOP_BY_HOP:
-            self._fields.append(b"%b: %b\r\n" % (name, value))
+            self._fields += b"%b: %b\r\n" % (name, value)
 
     def on_headers_complete(self) -> None:
         self._head_done = True
@@ -375,12 +403,9 @@
             self.on_message_complete()
 
     def on_body(self, body: bytes) -> None:
-        self._body_bytes += len(body)
-        pools = self.pool.pools
-        pools.buffered_bytes += len(body)
-        if self._body_bytes > MAX_ANSWER_BYTES or pools.buffered_bytes > pools.max_buffered_bytes:
+        if len(self._body) + len(body) > MAX_ANSWER_BYTES:
             raise ValueError("body too large")  # stops the parser
-        self._body.append(body)
+        self._body += body
 
     def on_message_complete(self) -> None:
         if self._answer is not None:
@@ -393,7 +418,7 @@
             return
         self._keep_alive = self._parser.should_keep_alive()  # known only until this callback returns
         self._answer = Answer(
-            status, b"".join(self._fields), b"".join(self._body), self._load_report, self._never_ran
+            status, bytes(self._fields), bytes(self._body), self._load_report, self._never_ran
         )
 
 
@@ -549,15 +574,17 @@
         max_open: int,
         connect_time_out: float,
         keep_idle: float,
-        max_buffered_bytes: int,
+        budget: MemoryBudget,
+        reads: ReadScheduler,
         events: EventLog | None = None,
     ) -> None:
         self.loop = loop
         self.clock = clock
         self.max_open = max_open
-        self.max_buffered_bytes = max_buffered_bytes
+        self.budget = budget
+        self.reads = reads
         self.events = events
-        self.buffered_bytes = 0  # bytes of incomplete answers
+        self._undelivered_bytes = 0  # of complete answers that are not passed on yet
         self.apply_config(connect_time_out, keep_idle)
         self.sends_blocked: Callable[[], bool] = _never  # whether no request may be sent to any upstream now
         self.pools: dict[int, ConnectionPool] = {}
@@ -593,6 +620,26 @@
             min(idle, key=lambda conn: conn.last_used).close("made room for another")
         return True
 
+    def answer_complete(self, change: int, size: int) -> None:
+        """Charge a complete answer of `size` bytes, `change` more than before, until it is passed on."""
+        self.budget.charge(change)
+        self._undelivered_bytes += size
+
+    def release_answers(self) -> None:
+        """The answers that were complete have been passed on."""
+        self.budget.charge(-self._undelivered_bytes)
+        self._undelivered_bytes = 0
+
+    def fail_largest_answers(self) -> None:
+        """Fail the fetches with the largest incomplete answers, until the budget is kept."""
+        while self.budget.exceeded:
+            incomplete = [conn for conn in self.open if conn.held_bytes and conn.exchange is not None]
+            if not incomplete:
+                return
+            exchange = max(incomplete, key=lambda conn: conn.held_bytes).exchange
+            assert exchange is not None
+            exchange.fail(FailureReason.MALFORMED)
+
     def run_maintenance(self, now: float) -> None:
         """Close connections that have been idle for long, before the upstream does."""
         for pool in self.pools.values():
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -257,7 +257,7 @@
 
 
 def configuration(
-    known: list[dict[str, Any]], registry: int = 1, sockets: int = 256, **caps: Any
+    known: list[dict[str, Any]], registry: int = 1, sockets: int = 256, memory_mb: int = 192, **caps: Any
 ) -> dict[str, Any]:
     def prefix(name: str, semantics: str) -> dict[str, Any]:
         return {
@@ -275,7 +275,7 @@
         "listen": "127.0.0.1:0",
         "discovery": f"127.0.0.1:{registry}",
         "seed": "8c1f",
-        "limits": {"sockets": sockets},
+        "limits": {"sockets": sockets, "memory_mb": memory_mb},
         "known": {"rev": 3, "all": True, "targets": known},
         "settings": {
             "Balancers": 1,
--- a/tests/test_upstreams.py
+++ b/tests/test_upstreams.py
@@ -291,17 +291,17 @@
         head = b"HTTP/1.1 200 OK\r\nContent-Length: 900000\r\n\r\n"
         peer = Peer(head + b"x" * 800_000)
         async with running(peer) as service:
-            pool = service.dispatcher.upstreams
-            pool.max_buffered_bytes = 2_000_000
+            budget = service.dispatcher.upstreams.budget
+            budget.limit = 2_000_000
             callers = [await caller(service) for _ in range(4)]
             for client in callers:
                 client.writer.write(request("/change", "POST", b"x"))
             while service.dispatcher.counts["errored"] < 2:  # two exceed the memory limit
                 await asyncio.sleep(0)
-            assert pool.buffered_bytes <= pool.max_buffered_bytes
-            for writer in list(peer.writers):
+            assert budget.held <= budget.limit
+            for writer in [w for w in peer.writers if not w.is_closing()]:
                 writer.write(b"x" * 100_000)
             statuses = sorted([(await client.answer())[0] for client in callers])
-            assert statuses == [200, 200, 502, 502] and pool.buffered_bytes == 0
+            assert statuses == [200, 200, 502, 502] and budget.held == 0
 
     play(scenario)
