Keep a large list's changes from stalling the process: ranking and reading are bounded

Cause: each line ranked all upstreams (12.8 ms at 3,200, `rig scale`'s ranking) and sorted the hash ring if one was new; one event batch took all lines that had come, some thousand, before requests, answers and deadlines.

Change: changes of the list rank 6,400 upstreams between two ticks at the most, later ones with the tick. A drain is in force at once: the upstream is not ready, and leaves those in use; a zone with none left in use is ranked at once. The ring is kept by bisection. Lists are read 32 KB an iteration of the event loop, in turns of their own. What has come and is not read for longer than the grace blocks sends (`ReadingBehind`), so nothing goes out by a list that is behind.

In test_scale.py the stand-in owner of a call gets the memory budget that a call charges.

--- a/ospreyline/decide.py
+++ b/ospreyline/decide.py
@@ -13,6 +13,7 @@
 
 from __future__ import annotations
 
+from bisect import bisect_left, insort
 from collections import deque
 from collections.abc import Sequence
 from dataclasses import dataclass, field
@@ -54,6 +55,8 @@
 TARGET_FETCHES_PER_UPSTREAM = 0.35  # mean of ours in flight at idle latency; above it more upstreams are used
 SAFE_CONCURRENCY = 3.0  # visits that any upstream can hold at a time, however slow it is
 GOLDEN_RATIO = 0.6180339887498949
+# upstreams ranked for changes of the list between two ticks; further changes are ranked with the next tick
+MAX_RANKED_PER_TICK = 6_400
 HASH_MULTIPLIER, HASH_MASK = 0xD6E8FEB86659FD93, (1 << 64) - 1
 MAX_FURTHER_FETCHES = 2  # of a visit, after its first one
 IDLE_LIMIT_MARGIN = 0.9  # of the shortest idle time after which connections were unresponsive
@@ -143,6 +146,11 @@
     cold_sends_allowed: int = 0  # in the current window, with the fraction drawn by chance
     cold_sends_drawn_at: float = -inf
 
+    @property
+    def ring_position(self) -> int:
+        """Place in the hash ring, the same at every balancer."""
+        return self.hash_key * HASH_MULTIPLIER & HASH_MASK
+
     def reset_after_restart(self, now: float, start: float) -> None:
         """Discard what was learnt of the previous process, all but its cold sends."""
         self.started_at = start
@@ -194,7 +202,9 @@
         self.lease = ListLease()  # until when the upstream list may be used
         self._upstreams: dict[int, Upstream] = {}
         self._ring: list[Upstream] = []  # hash ring, the same at every balancer
+        # as of the latest ranking; one that drains is left out by `_may_send` until the next
         self._ready: list[Upstream] = []
+        self._ranked_since_tick = 0  # upstreams ranked for changes of the list
         self._trials_due: list[Upstream] = []  # ejected, time for a trial request
         self._zone_shares: list[tuple[float, int]] = []  # running total of the shares, zone
         self._decay_ms = MEASUREMENT_DECAY_MS  # decay time of measurements of one upstream
@@ -306,18 +316,22 @@
         """
         if from_own_watch:
             self._call_schedule.call_answered()
+        new, withdrawn = [], []
         for line in lines:
             u = self._upstreams.get(line.upstream)
             if u is None:
                 locality = self._localities[line.zone]
                 u = Upstream(line.upstream, line.hash_key, line.zone, line.cell, locality)
                 self._upstreams[u.id] = u
+                new.append(u)
                 # otherwise each of hundreds of balancers would send a first visit at once, overloaded or not
                 u.sent_at = now - self._random() * self._send_spacing(u) * u.locality.latency
             u.cell = line.cell
             self._assign_locality(u, line.zone)
             was_ready, u.ready = u.ready, line.readiness is Readiness.READY
             if not u.ready:
+                if was_ready:
+                    withdrawn.append(u)
                 continue
             # a start in the future counts as now, and only once for each listed start
             came_up = line.started_at or -inf
@@ -327,11 +341,39 @@
                     came_up,
                 )
                 u.reset_after_restart(now, start)  # a restarted machine is cold, whatever was learnt of it
-        if len(self._ring) < len(self._upstreams):
-            self._ring = sorted(
-                self._upstreams.values(), key=lambda u: u.hash_key * HASH_MULTIPLIER & HASH_MASK
-            )
-        self._update_candidates(now)
+        self._add_to_ring(new)
+        if is_first_list or self._may_rank():
+            self._update_candidates(now)
+        else:
+            self._remove_candidates(now, withdrawn)
+
+    def _add_to_ring(self, new: list[Upstream]) -> None:
+        """Insert new upstreams; a few into a large ring without sorting it anew."""
+        if len(new) > len(self._ring) / log(len(self._ring) + 2):
+            self._ring = sorted((*self._ring, *new), key=lambda u: u.ring_position)
+            return
+        for u in new:
+            insort(self._ring, u, key=lambda other: other.ring_position)
+
+    def _may_rank(self) -> bool:
+        """Whether a change of the list may be ranked at once.
+
+        A ranking goes over all upstreams. In a large fleet of which most is replaced, one for each change
+        would take all of the processor time.
+        """
+        ranked = self._ranked_since_tick + len(self._ready)
+        if self._ranked_since_tick and self._ready and ranked > MAX_RANKED_PER_TICK:
+            return False
+        self._ranked_since_tick = ranked
+        return True
+
+    def _remove_candidates(self, now: float, withdrawn: list[Upstream]) -> None:
+        """Until the next ranking: use none that drains; rank at once where a zone has none left."""
+        for u in withdrawn:
+            if u in u.locality.candidates:
+                u.locality.candidates.remove(u)
+                if not u.locality.candidates:
+                    return self._update_candidates(now)
 
     def list_call_failed(self, now: float, possibly_lost: bool = False, turned_away: bool = False) -> None:
         """A list call failed or the watch broke off: keep the old list and schedule another call.
@@ -356,7 +398,9 @@
 
     def remove_upstream(self, upstream: int) -> None:
         """Remove an upstream that left long ago and will not be listed again."""
-        self._ring.remove(self._upstreams.pop(upstream))
+        u = self._upstreams.pop(upstream)
+        at = bisect_left(self._ring, u.ring_position, key=lambda other: other.ring_position)
+        del self._ring[self._ring.index(u, at)]
 
     def probe_ended(
         self, now: float, upstream: int, end: End, spent_ms: float, report: tuple[float, ...]
@@ -864,6 +908,7 @@
                 locality.latency += TICK_MS / MEASUREMENT_DECAY_MS * (usual - locality.latency)
                 locality.in_time_share += TICK_MS / MEASUREMENT_DECAY_MS * (1 - locality.in_time_share)
         self._update_candidates(now)
+        self._ranked_since_tick = 0
         self._call_if_due(now)
         if self._settings.may_probe:
             self._send_probes(now)
--- a/ospreyline/lease.py
+++ b/ospreyline/lease.py
@@ -37,6 +37,7 @@
 
     NO_UPDATE_YET = "this process has not heard from the list service yet"
     UPDATE_LOST = "an update of the list may have been written and lost"
+    READING_BEHIND = "updates of the list have come and are not read yet"
     OUT_OF_DATE = "the list service has not been heard for too long"
 
 
@@ -64,6 +65,20 @@
     call: int
 
 
+@dataclass(slots=True, frozen=True)
+class ReadingBehind:
+    """More has come on a call than is read in one iteration of the event loop."""
+
+    call: int
+
+
+@dataclass(slots=True, frozen=True)
+class CaughtUp:
+    """All that has come on a call is read, or the call is over."""
+
+    call: int
+
+
 @dataclass(slots=True, frozen=True)
 class UpdateRead:
     """An update, or the answer that there is none, was read completely on an open connection."""
@@ -118,6 +133,8 @@
     CallStarted
     | UpdateArriving
     | NoUpdateArriving
+    | ReadingBehind
+    | CaughtUp
     | UpdateRead
     | FormerServiceRead
     | MessageComplete
@@ -155,6 +172,7 @@
 
     __slots__ = (
         "_arriving",
+        "_behind",
         "_first_call_failed",
         "_grace",
         "_latest_call",
@@ -173,6 +191,7 @@
         self._arriving: dict[
             int, float
         ] = {}  # by call: ms; its unread update may have been written from then on
+        self._behind: dict[int, float] = {}  # by call: ms; unread lines may have been written from then on
         self._losses = _Losses()
         self._latest_call = 0
         self._first_call_failed = False
@@ -215,6 +234,8 @@
             arriving and self._grace_over(now, min(arriving), max(arriving))
         ):
             return BlockReason.UPDATE_LOST
+        if self._behind and now >= min(self._behind.values()) + self._grace:
+            return BlockReason.READING_BEHIND
         notified_at = self._proven_at + NOTIFIED_AFTER_MS
         if self._grace_over(now, notified_at, notified_at):
             return BlockReason.OUT_OF_DATE
@@ -239,6 +260,10 @@
                 self._arriving.setdefault(call, now)
             case NoUpdateArriving(call):
                 self._arriving.pop(call, None)
+            case ReadingBehind(call):
+                self._behind.setdefault(call, now)
+            case CaughtUp(call):
+                self._behind.pop(call, None)
             case UpdateRead(call):
                 self._arriving.pop(call, None)
                 if self._losses.settled_by(message):
@@ -270,5 +295,6 @@
         self._proven_at, self._no_update_since = now, inf
 
     def _renew(self) -> None:
-        notified_at = min(self._losses.first, self._proven_at + NOTIFIED_AFTER_MS, *self._arriving.values())
+        unread = *self._arriving.values(), *self._behind.values()
+        notified_at = min(self._losses.first, self._proven_at + NOTIFIED_AFTER_MS, *unread)
         self.expires_at = min(self._no_update_since, notified_at + self._grace)
--- a/ospreyline/net/discovery.py
+++ b/ospreyline/net/discovery.py
@@ -17,11 +17,13 @@
     FULL_LIST_VERSION,
     CallStarted,
     CallTimedOut,
+    CaughtUp,
     ConnectionRefused,
     FormerServiceRead,
     LeaseMessage,
     MessageComplete,
     NoUpdateArriving,
+    ReadingBehind,
     UpdateArriving,
     UpdateLost,
     UpdateRead,
@@ -29,9 +31,11 @@
 from ospreyline.net.list_call import SILENCE_TIMEOUT_S, CallEnd, ListCall
 from ospreyline.net.listing import Entry, ListUpdate, Log
 from ospreyline.net.memory import MemoryBudget
+from ospreyline.net.reading import ReadScheduler
 
 MAX_UNANSWERED_WATCHES = 3
 MAX_HALF_CLOSED = 3  # calls that we have ended and still read
+ITERATION_BYTES = 32_768  # read in one iteration of the event loop, some 150 lines of one entry
 DEFAULT_BUFFERED_BYTES = 12 << 20
 READ_AFTER_CLOSE_S = SILENCE_TIMEOUT_S  # for so long they are read
 
@@ -64,6 +68,7 @@
         on_failure: Callable[[CallFailure], None],
         on_lease_message: Callable[[LeaseMessage], None] = lambda message: None,
         budget: MemoryBudget | None = None,
+        log_change: Callable[..., None] | None = None,
     ) -> None:
         self.loop = loop
         self.at = at
@@ -72,8 +77,11 @@
         self._on_update = on_update
         self._on_failure = on_failure
         self._on_lease_message = on_lease_message
+        self.log_change: Callable[..., None] = log_change or log.info  # for lines about single updates
         # of unfinished updates on all calls together
         self.budget = budget or MemoryBudget(DEFAULT_BUFFERED_BYTES)
+        # of its own: a drain does not wait for turns of clients
+        self.reads = ReadScheduler(loop, ITERATION_BYTES)
         self._calls: dict[ListCall, asyncio.Task[None]] = {}
         self._half_closed: list[ListCall] = []  # ended by us and still read, oldest first
         self._watch: ListCall | None = None  # the latest one
@@ -182,6 +190,9 @@
         if not call.outcome_unknown:
             self._on_lease_message(NoUpdateArriving(call.number))
 
+    def reading_behind(self, call: ListCall, behind: bool) -> None:
+        self._on_lease_message(ReadingBehind(call.number) if behind else CaughtUp(call.number))
+
     def _report_loss(self, call: ListCall) -> bool:
         """Whether an update may have been written on an ended call and not been read; reported once.
 
--- a/ospreyline/net/dispatcher.py
+++ b/ospreyline/net/dispatcher.py
@@ -194,6 +194,7 @@
             on_failure=lambda failure: self.enqueue(self._on_list_call_failed, failure),
             on_lease_message=lambda message: self.enqueue(self._on_lease_message, message),
             budget=self.budgets.list_updates,
+            log_change=self.events.change,
         )
         self._configure_discovery()
         now = clock()
@@ -928,7 +929,7 @@
             self._gone_since.pop(uid, None)
             if state is Readiness.GONE:
                 self._gone_since[uid] = clock()
-            self.logger.info(
+            self.events.change(
                 "upstream", uid=uid, state=state.name.lower(), boot_ms=target.boot_ms if target else None
             )
 
--- a/ospreyline/net/list_call.py
+++ b/ospreyline/net/list_call.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import select
+from collections.abc import Callable
 from contextlib import suppress
 from enum import Enum
 from typing import Protocol, cast
@@ -16,6 +17,7 @@
 
 from ospreyline.net.listing import ListUpdate, Log, open_brackets, parse_update, version_of
 from ospreyline.net.memory import MemoryBudget
+from ospreyline.net.reading import SHORT_READ_BYTES, ReadScheduler
 from ospreyline.net.sockets import failed
 from ospreyline.net.upstreams import unread
 
@@ -58,6 +60,8 @@
     log: Log
     service_may_be_slow: bool  # the service may need seconds for an answer
     budget: MemoryBudget  # of unfinished updates on all calls together
+    reads: ReadScheduler
+    log_change: Callable[..., None]  # writes a log line about a single update
 
     def update_arriving(self, call: ListCall) -> None:
         """The first bytes of an answer, or of an update, have come."""
@@ -65,6 +69,9 @@
     def no_update_arriving(self, call: ListCall) -> None:
         """They were no update: the rest of a head, or of a chunk whose lines have been passed on."""
 
+    def reading_behind(self, call: ListCall, behind: bool) -> None:
+        """Whether more has come than is read in one iteration of the event loop."""
+
     def update_received(self, call: ListCall, update: ListUpdate | None) -> None:
         """An update has come completely; None: an empty line, nothing has changed."""
 
@@ -72,7 +79,7 @@
         """The call is over, as `call.end` says; a non-empty `why` means that it failed."""
 
 
-class ListCall(asyncio.Protocol):
+class ListCall(asyncio.BufferedProtocol):
     """One call: passes on its lines as they come, and its end once."""
 
     def __init__(
@@ -102,6 +109,7 @@
         self._buffer = bytearray()  # behind the last whole line
         self._object_lines: list[bytes] = []  # of an object that spans several lines, so far
         self._open_brackets = self._object_bytes = 0  # in those lines
+        self._behind = False  # more has come than is read in one iteration of the event loop
         self._held_bytes = 0  # charged to the memory budget
         self._head_done = self._chunked = self._has_length = self._in_chunk = False
         self._status = 0
@@ -156,9 +164,22 @@
         """Ends the call; nothing more is read of it."""
         self.over = True
         self._charge(0)
+        if self._behind:
+            self._behind = False
+            self.owner.reading_behind(self, False)
         if self.transport is not None:
             self.transport.abort()
 
+    def get_buffer(self, sizehint: int) -> memoryview:
+        return self.owner.reads.buffer()
+
+    def buffer_updated(self, nbytes: int) -> None:
+        self.data_received(bytes(self.owner.reads.received(nbytes, self.transport)))
+        behind = nbytes >= SHORT_READ_BYTES and not self.over and self.has_unread_data()
+        if behind is not self._behind:
+            self._behind = behind
+            self.owner.reading_behind(self, behind)
+
     def data_received(self, data: bytes) -> None:
         if self.over:
             return
@@ -315,7 +336,7 @@
             self._object_lines, self._open_brackets, self._object_bytes, self.arriving = [], 0, 0, False
             self.heard_at = self.owner.loop.time()
             self.objects += 1
-            self.owner.log.info(
+            self.owner.log_change(
                 "list received",
                 call=self.number,
                 rev=update.rev,
--- a/ospreyline/net/reading.py
+++ b/ospreyline/net/reading.py
@@ -17,12 +17,13 @@
 class ReadScheduler:
     """Hands out the read buffer of all connections, and makes busy ones take turns."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(self, loop: asyncio.AbstractEventLoop, iteration_bytes: int = ITERATION_BYTES) -> None:
         self._loop = loop
+        self._iteration_bytes = iteration_bytes
         # shared: a connection has used up what was read before the next one reads
         self._buffer = memoryview(bytearray(READ_BYTES))
         self._short_buffer = self._buffer[:SHORT_READ_BYTES]
-        self._left = ITERATION_BYTES
+        self._left = iteration_bytes
         self._renewal_scheduled = False
         self._paused: deque[asyncio.Transport] = deque()  # connections that wait for their turn
 
@@ -44,8 +45,8 @@
 
     def _renew(self) -> None:
         """A new iteration: let as many connections read on as its bytes suffice for."""
-        self._left, self._renewal_scheduled = ITERATION_BYTES, False
-        turns = ITERATION_BYTES // READ_BYTES
+        self._left, self._renewal_scheduled = self._iteration_bytes, False
+        turns = self._iteration_bytes // READ_BYTES
         while self._paused and turns:
             transport = self._paused.popleft()
             if not transport.is_closing():
--- a/ospreyline/rig/command.py
+++ b/ospreyline/rig/command.py
@@ -381,6 +381,23 @@
         slopefile.plot(found, drawn)
 
 
+@scale.command()
+@click.option(
+    "--upstreams",
+    multiple=True,
+    type=click.IntRange(10, 20_000),
+    default=(100, 800, 1_600, 3_200),
+    show_default=True,
+)
+@_report_errors
+def stalls(upstreams: tuple[int, ...]) -> None:
+    """Measure for how long (ms) no request is read while the list changes, as a table."""
+    from ospreyline.rig import stalls as measuring
+
+    found = {count: asyncio.run(measuring.measure(count)) for count in upstreams}
+    click.echo(measuring.table(found))
+
+
 @scale.command()
 @click.argument("data", type=click.Path(dir_okay=False, exists=True, path_type=Path))
 @click.argument("picture", type=click.Path(dir_okay=False, path_type=Path))
--- a/ospreyline/rig/scale.py
+++ b/ospreyline/rig/scale.py
@@ -313,7 +313,14 @@
     def send_update(self, targets: list[dict[str, Any]]) -> int:
         """Sends a change to all watches; returns its size in bytes."""
         self.rev += 1
-        line = msgspec.json.encode({"rev": self.rev, "targets": targets}) + b"\n"
+        return self._send_line(msgspec.json.encode({"rev": self.rev, "targets": targets}) + b"\n")
+
+    def send_whole(self, body: bytes) -> int:
+        """Sends a full list (as of `list_body`) to all watches; returns its size in bytes."""
+        self.rev += 1
+        return self._send_line(body.replace(b'"rev":1', b'"rev":%d' % self.rev, 1) + b"\n")
+
+    def _send_line(self, line: bytes) -> int:
         for writer in self.watches:
             if not writer.is_closing():
                 self._write_chunk(writer, line)
@@ -667,7 +674,7 @@
                 failure = process.last_lines.get("call to discovery failed", {})
                 if failure.get("why") == "a line without an end":
                     break
-                if process.line_counts.get("upstream", 0) >= count:
+                if process.last_lines.get("list received", {}).get("entries", 0) >= count:
                     taken = 1
                     break
             results.add("whole_line_taken", count, taken)
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -32,6 +32,7 @@
 from ospreyline.host import Readiness
 from ospreyline.lab.mesh import Mesh
 from ospreyline.net.list_call import MAX_LINE_BYTES, ListCall
+from ospreyline.net.memory import MemoryBudget
 from ospreyline.rig import scale
 
 SIZES = 200, 2_000, 20_000
@@ -120,7 +121,10 @@
     assert all(100 <= size / count <= 115 for size, count in zip(sizes, SIZES, strict=True))
     stopped = []
     owner = SimpleNamespace(
-        loop=SimpleNamespace(time=lambda: 0.0), log=None, call_ended=lambda call, why: stopped.append(why)
+        loop=SimpleNamespace(time=lambda: 0.0),
+        log=None,
+        budget=MemoryBudget(2 * MAX_LINE_BYTES),
+        call_ended=lambda call, why: stopped.append(why),
     )
     call = ListCall(owner, 1, ("h", 1), 0, watching=True)
     call.on_body(b"x" * MAX_LINE_BYTES)
