Takeover: tell an outcome only to the client that has the request's secret

Cause: an id, which stands in logs and on the wire to upstreams, was taken as proof of who asks: by the join at the same balancer (class, method, path and body were not compared either), by a claim at another balancer, and for stored answers at both.

Change: a client sends `X-Retry-Secret` with a request, and again when it asks. Balancers keep an HMAC-SHA256 of id, method, path, key and body with the secret as key (net/retry_proof.py, standard library). A join compares it in constant time. For claims it is a part of the visit's name at the acceptors, so a foreign claim names a visit that nobody knows: no ballot rises, no record changes, nothing is taken over. The secret goes to no upstream, log or other balancer; a request without one cannot be asked for.

Tests changed, as strict as before: three that ask for an outcome send the secret now (test_gone.py twice, test_handover.py); the rig's clients send one with each request.

--- a/ospreyline/fleet/acceptor.py
+++ b/ospreyline/fleet/acceptor.py
@@ -209,12 +209,23 @@
 
         # Bounds the memory used for other balancers, whatever they send.
         while full():
-            done = next((w for w, record in self.records.items() if record.finished and w != excluding), None)
+            done = self._first_evictable(excluding)
             if done is None:
                 return False
             self._discard(done)
         return True
 
+    def _first_evictable(self, excluding: str) -> str | None:
+        """The oldest visit that was claimed and never registered; without one, the oldest finished one."""
+        finished = None
+        for visit_id, record in self.records.items():
+            if visit_id == excluding or not record.finished:
+                continue
+            if not record.acceptors:
+                return visit_id  # whoever claims ids at random evicts no answers
+            finished = finished or visit_id
+        return finished
+
     def _discard(self, visit_id: str) -> None:
         record = self.records.pop(visit_id)
         self.stored_bytes -= len(record.body) + len(record.answer)
--- a/ospreyline/net/clients.py
+++ b/ospreyline/net/clients.py
@@ -22,6 +22,7 @@
 from ospreyline.net.events import EventLog
 from ospreyline.net.memory import PeerBudgets
 from ospreyline.net.reading import ReadScheduler
+from ospreyline.net.retry_proof import SECRET, SECRET_FIELD, make_proof
 from ospreyline.net.sockets import discard_unread, shutdown_now, unacknowledged
 from ospreyline.net.upstreams import HOP_BY_HOP, MAX_BODY_BYTES, MAX_HEAD_BYTES, MAX_RAW_BYTES, unread
 
@@ -36,7 +37,7 @@
 # received bytes after the last answer beyond which the connection is closed at once
 MAX_LINGER_BYTES = 1 << 20
 # header fields that are not forwarded as received; the balancer sets its own values where needed
-REPLACED_FIELDS = HOP_BY_HOP | {b"expect", b"x-expires-in"}
+REPLACED_FIELDS = HOP_BY_HOP | {b"expect", b"x-expires-in", SECRET_FIELD}
 HEALTH_PATHS = (b"/health/ready", b"/health/live")
 NO_PREFIX = -1  # instead of a path prefix: a health check, answered by the balancer itself
 SINGLE_VALUE_FIELDS = frozenset(
@@ -48,6 +49,7 @@
         b"content-length",
         b"transfer-encoding",
         b"host",
+        SECRET_FIELD,
     )
 )
 # header fields whose values matter here
@@ -72,6 +74,7 @@
     is_repeat: bool
     # its client got no answer to an earlier request with this id and asks again for the outcome
     asks_for_outcome: bool = False
+    proof: bytes = b""  # of its client's secret (`retry_proof`); empty: nobody may ask for its outcome
     held_bytes: int = 0  # charged to the memory budget of requests
 
     def head(self) -> bytes:
@@ -88,6 +91,8 @@
     closing: bool
     counts: Counter[str]
 
+    @property
+    def keeps_outcomes(self) -> bool: ...
     def accept_request(self, request: Request, client: ClientConnection) -> bool: ...
     def client_left(self, client: ClientConnection) -> None: ...
     def ready(self) -> bool: ...
@@ -368,8 +373,21 @@
             time_left=left,
             is_repeat=(again := values.get(b"x-second-try", b"").strip()) in (b"1", b"same"),
             asks_for_outcome=again == b"same",
+            proof=self._proof(method, request_id),
         )
 
+    def _proof(self, method: bytes, request_id: bytes) -> bytes:
+        """The proof that its client's secret makes; empty without a secret."""
+        secret = self._field_values.get(SECRET_FIELD)
+        if secret is None:
+            return b""
+        if not SECRET.fullmatch(secret):
+            raise BadRequest(400)
+        if not self.clients.handler.keeps_outcomes:
+            return b""
+        key = self._field_values.get(b"idempotency-key", b"")
+        return make_proof(secret, request_id, method, self._path, key, bytes(self._body))
+
     def _drop_unhandled(self) -> None:
         for found in self._unhandled:
             if isinstance(found, Request):
--- a/ospreyline/net/dispatcher.py
+++ b/ospreyline/net/dispatcher.py
@@ -126,7 +126,9 @@
         self.takeover_adapter: TakeoverAdapter | None = None
         self.closing = False
         self.visits: dict[int, PendingVisit] = {}
-        self._open_ids: set[bytes] = set()  # request ids of the open visits
+        # number of open visits by request id; more than one only if a client asks for an outcome under an id
+        # that another client uses, too
+        self._open_ids: Counter[bytes] = Counter()
         self.counts: Counter[str] = Counter()
         self.events = EventLog(self.logger, clock, self.counts)
         self.latencies_ms: list[float] = []  # of the visits delivered since the last "counts" log line
@@ -436,6 +438,11 @@
         if self.takeover_adapter is not None:
             self.takeover_adapter.process_events(now)
 
+    @property
+    def keeps_outcomes(self) -> bool:
+        """Whether clients may ask for the outcome of a request."""
+        return self.takeover_adapter is not None
+
     def prefix_name(self, prefix: int) -> str:
         return self._config.prefix_names[prefix]
 
@@ -446,13 +453,15 @@
     def accept_request(self, request: Request, client: ClientConnection) -> bool:
         """Start a visit for a request, or join it to its open visit; False if its id is in use otherwise."""
         if request.request_id in self._open_ids:
-            joined = self.takeover_adapter is not None and self.takeover_adapter.join_visit_in_progress(
+            if self.takeover_adapter is not None and self.takeover_adapter.join_visit_in_progress(
                 request, client
-            )
-            if joined:
+            ):
                 self._release_request(request)
-            return joined
-        self._open_ids.add(request.request_id)
+                return True
+            # one that has a secret is not kept from its outcome by whoever has used its id here
+            if not (request.asks_for_outcome and request.proof):
+                return False
+        self._open_ids[request.request_id] += 1
         self._last_tag += 1
         prefix_settings = self._config.deployment.prefixes[request.prefix_index]
         pending = self.visits[self._last_tag] = PendingVisit(self._last_tag, request, prefix_settings, client)
@@ -546,7 +555,7 @@
             tag, request, self._config.deployment.prefixes[request.prefix_index], None
         )
         pending.arrived_at = now
-        self._open_ids.add(request.request_id)
+        self._open_ids[request.request_id] += 1
         pending.backstop_timer = self._loop.call_later(
             max(0.0, time_left + BACKSTOP_DELAY_MS) / 1e3, self.enqueue, self._on_overdue, pending
         )
@@ -661,7 +670,9 @@
 
     def _discard_visit(self, pending: PendingVisit) -> None:
         if self.visits.pop(pending.tag, None) is not None:
-            self._open_ids.discard(pending.request.request_id)
+            self._open_ids[pending.request.request_id] -= 1
+            if not self._open_ids[pending.request.request_id]:
+                del self._open_ids[pending.request.request_id]
             self._release_request(pending.request)
             if self.takeover_adapter is not None:
                 self.takeover_adapter.remove(pending.tag)
--- a/ospreyline/net/takeover_adapter.py
+++ b/ospreyline/net/takeover_adapter.py
@@ -15,6 +15,7 @@
 from ospreyline.fleet.takeover import KIND_BY_BYTE, PriorFetch, Takeover
 from ospreyline.host import Kind
 from ospreyline.net.clients import ClientConnection, Request
+from ospreyline.net.retry_proof import same_proof, visit_suffix
 from ospreyline.net.upstreams import ExchangeFailure, ExchangeStage, FailureReason
 
 if TYPE_CHECKING:
@@ -36,6 +37,7 @@
     body: bytes
     prefix: str
     trace: bytes
+    proof: bytes = b""  # the secret itself is not stored
 
 
 class TakeoverAdapter:
@@ -69,7 +71,9 @@
     # calls of the dispatcher
 
     def _visit_id(self, request: Request) -> str:
-        return f"{self._dispatcher.prefix_name(request.prefix_index)} {request.request_id.decode('latin-1')}"
+        """The name of its visit at the acceptors, which nobody else can form who has no secret of it."""
+        name, id_ = self._dispatcher.prefix_name(request.prefix_index), request.request_id.decode("latin-1")
+        return f"{name} {id_} {visit_suffix(request.proof)}"
 
     def _encode_request(self, request: Request, kind: Kind) -> bytes:
         return _LETTERS[kind] + _ENCODER.encode(
@@ -80,15 +84,16 @@
                 request.body,
                 self._dispatcher.prefix_name(request.prefix_index),
                 request.request_id,
+                request.proof,
             )
         )
 
     def join_visit_in_progress(self, request: Request, client: ClientConnection) -> bool:
-        """Whether a client that asks again is joined to its visit in progress here."""
+        """Whether a client that asks again, with its secret, is joined to its visit in progress here."""
         if not request.asks_for_outcome:
             return False
         for pending in self._dispatcher.visits.values():
-            if pending.request.request_id == request.request_id and not pending.answered:
+            if same_proof(pending.request.proof, request.proof) and not pending.answered:
                 if pending.client is not None:
                     pending.client.current_request = None
                     pending.client.close("its client asks again on another")
@@ -100,6 +105,10 @@
     def admit(self, now: float, pending: PendingVisit, left: float, kind: Kind) -> bool:
         """A visit has arrived; returns whether the decision module gets it now."""
         request = pending.request
+        if request.asks_for_outcome and not request.proof:
+            self._dispatcher.counts["asked_without_secret"] += 1
+            self._reply_unknown(now, pending, kind)
+            return False
         if request.asks_for_outcome:
             self._retry_deadlines[pending.tag] = now + left
             self.takeover.claim_for_client(
@@ -242,8 +251,7 @@
         if what == "answer":
             self._reply_with_stored_answer(now, pending, details)
         elif what == "unknown":
-            dispatcher.enqueue(dispatcher.reply, pending, 502, MAY_HAVE_RUN_HEADER, b"it may have run\n")
-            dispatcher.close_visit(now, pending)
+            self._reply_may_have_run(now, pending)
         elif what == "lost":
             # another balancer has it: nothing more is sent; a fetch in progress may still be recorded
             if pending.client is not None:
@@ -257,6 +265,18 @@
         elif what == "bounce":
             dispatcher.refuse(pending.tag)
 
+    def _reply_unknown(self, now: float, pending: PendingVisit, kind: Kind) -> None:
+        """Answer a client that asks for an outcome which nobody can tell it."""
+        if kind is Kind.MUTATING:
+            self._reply_may_have_run(now, pending)
+        else:
+            self._dispatcher.refuse(pending.tag)
+
+    def _reply_may_have_run(self, now: float, pending: PendingVisit) -> None:
+        dispatcher = self._dispatcher
+        dispatcher.enqueue(dispatcher.reply, pending, 502, MAY_HAVE_RUN_HEADER, b"it may have run\n")
+        dispatcher.close_visit(now, pending)
+
     def _reply_with_stored_answer(self, now: float, pending: PendingVisit, encoded_answer: bytes) -> None:
         dispatcher = self._dispatcher
         reply: tuple[int, bytes, bytes] = (502, b"", b"it was answered, and its answer is not kept\n")
@@ -282,6 +302,14 @@
         if prefix is None:
             return self.takeover.abandon(now, tag)
         request = Request(
-            stored.method, stored.path, stored.fields, stored.body, prefix, stored.trace, None, True
+            stored.method,
+            stored.path,
+            stored.fields,
+            stored.body,
+            prefix,
+            stored.trace,
+            None,
+            True,
+            proof=stored.proof,
         )
         self._dispatcher.adopt_visit(now, tag, request, left, prior_fetches)
--- a/ospreyline/rig/clients.py
+++ b/ospreyline/rig/clients.py
@@ -312,6 +312,7 @@
         )
         if kind == "tagged":
             head += f"Idempotency-Key: {request.idempotency_key}\r\n"
+        head += f"X-Retry-Secret: {_retry_secret(attempt.id)}\r\n"
         if request.repeated_id:
             head += "X-Second-Try: same\r\n"
         elif request.tries > 1 and self.scenario.clients.marks:
@@ -464,5 +465,10 @@
         self.worker.row("left over", wants=self.unfinished)
 
 
+def _retry_secret(request_id: str) -> str:
+    """The secret with which a client asks for the outcome of its request: the same for all its tries."""
+    return f"secret-of-request-{request_id}"
+
+
 def make(worker: Worker, setup: dict[str, Any]) -> Clients:
     return Clients(worker, setup)
--- a/tests/test_gone.py
+++ b/tests/test_gone.py
@@ -36,7 +36,7 @@
     running,
     target,
 )
-from test_clients import play
+from test_clients import KEY, play
 from test_handover import reload
 from test_left import Gate, asked, passes
 from test_service import moved
@@ -44,10 +44,12 @@
 from ospreyline.fleet.takeover import Takeover
 from ospreyline.net import upstreams
 from ospreyline.net.dispatcher import clock
+from ospreyline.net.retry_proof import make_proof, visit_suffix
 from ospreyline.net.service import Service
 from ospreyline.net.takeover_adapter import TakeoverAdapter
 from ospreyline.operator_settings import TakeoverSettings as On
 
+SECRET = "the-secret-of-the-client"
 WAYS = pytest.mark.parametrize("how", ["end", "reset", "half"])
 LATE_BY = pytest.mark.parametrize("late", [50, 300])
 CANCEL = pytest.mark.parametrize("cancel", [True, False])
@@ -475,10 +477,12 @@
         peer = Peer()
         async with running(peer) as service:
             bank, dispatcher = TakeoverBank(service), service.dispatcher
+            key = KEY["Idempotency_Key"].encode()
+            proof = make_proof(SECRET.encode(), b"7", b"POST", b"/tag", key, b"x")
             bank.at["m1"].admit(
                 clock(),
                 1,
-                "tag 7",
+                f"tag 7 {visit_suffix(proof)}",
                 asked_kind := next(p.kind for p in dispatcher._config.deployment.prefixes if p.name == "tag"),
                 b"tbody",
                 2_000.0,
@@ -486,7 +490,7 @@
             bank.at["m1"].register_queued(clock(), 1)
             bank.deliver()
             sock = open_client(service)
-            sock.sendall(asked("/tag", trace="7", X_Second_Try="same"))
+            sock.sendall(asked("/tag", trace="7", X_Second_Try="same", X_Retry_Secret=SECRET))
             while not dispatcher.takeover_adapter._retry_deadlines:
                 await asyncio.sleep(0)
             assert asked_kind is not None
@@ -514,7 +518,7 @@
             TakeoverBank(service)
             sock, dispatcher = open_client(service), service.dispatcher
             bank = TakeoverBank(service)
-            sock.sendall(asked("/tag", trace="7"))
+            sock.sendall(asked("/tag", trace="7", X_Retry_Secret=SECRET))
             while not dispatcher.takeover_adapter._waiting:
                 await asyncio.sleep(0)
             bank.deliver()
@@ -527,7 +531,7 @@
             assert dispatcher.visits
             if again:
                 client = await caller(service)
-                client.writer.write(asked("/tag", trace="7", X_Second_Try="same"))
+                client.writer.write(asked("/tag", trace="7", X_Second_Try="same", X_Retry_Secret=SECRET))
                 while not dispatcher.counts["joined"]:
                     await asyncio.sleep(0)
             for peer in peers:
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -124,6 +124,7 @@
             first.writer.write(request("/change", "POST", b"x"))
             await peer.until(lambda: bool(peer.requests))
             (old,) = service.clients.open
+            old.current_request.proof = b"of its secret"
             second = await caller(service)
             while len(service.clients.open) < 2:
                 await asyncio.sleep(0)
