Bound unfinished messages on links between balancers over all links together

Cause: a link may hold 1 MB of a message of which the rest has not come, and there may be 256.

Change: links count what they hold; over 16 MB in all the link that holds the most is closed, and dialled again as after any close.

--- a/ospreyline/fleet/frames.py
+++ b/ospreyline/fleet/frames.py
@@ -288,6 +288,11 @@
     def __init__(self) -> None:
         self._buffer = bytearray()
 
+    @property
+    def unfinished_bytes(self) -> int:
+        """Bytes of a message of which the rest has not come."""
+        return len(self._buffer)
+
     def feed(self, data: bytes) -> list[Message]:
         """Adds received bytes; returns the messages that are complete now. `FrameError` at invalid bytes."""
         buffer = self._buffer
--- a/ospreyline/fleet/links.py
+++ b/ospreyline/fleet/links.py
@@ -15,6 +15,7 @@
 from ospreyline.fleet.frames import Entry, FrameError, Hello, Message, Reader, encode
 
 MAX_QUEUED_BYTES = 1 << 18  # in the send queue of one link
+MAX_UNFINISHED_BYTES = 16 << 20  # of messages of which the rest has not come, on all links together
 MAX_LINKS = 256  # dialled and accepted together
 MAX_RECEIVE_BYTES_PER_S = 4 << 20  # on one link
 HELLO_TIMEOUT_S = 2.0
@@ -40,6 +41,7 @@
         self._send_queue: deque[tuple[type, bytes]] = deque()
         self._queued_bytes = 0
         self._paused = False
+        self.unfinished_bytes = 0  # of the message that is being received
         self._rate_window_start, self._rate_window_bytes = 0.0, 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -63,6 +65,7 @@
             messages = self._reader.feed(data)
         except FrameError as error:
             return self.close(str(error))
+        self.links.count_unfinished(self, self._reader.unfinished_bytes)
         for message in messages:
             if self.transport is None:
                 return
@@ -160,6 +163,7 @@
         self.by_name: dict[str, Link] = {}
         self.dropped = self.refused = 0
         self.bytes_in = self.bytes_out = 0
+        self.unfinished_bytes = 0  # on all links together
         self.max_links = max_links
         self._on_dial_failed = on_dial_failed
         self._log = log
@@ -224,8 +228,17 @@
             for message in self._queued_for_dial.pop(name, []):
                 link.write(message)
 
+    def count_unfinished(self, link: Link, count: int) -> None:
+        """`link` holds `count` bytes of an unfinished message; above the limit the largest is closed."""
+        self.unfinished_bytes += count - link.unfinished_bytes
+        link.unfinished_bytes = count
+        while self.unfinished_bytes > MAX_UNFINISHED_BYTES:
+            max(self.open, key=lambda other: other.unfinished_bytes).close("no memory for its message")
+
     def link_ended(self, link: Link, why: str) -> None:
         """Removes a link; logs a reason if it ended before its hello."""
+        self.unfinished_bytes -= link.unfinished_bytes
+        link.unfinished_bytes = 0
         if self.open.pop(link, self) is self:
             return
         if why and not link.greeted:
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -6,14 +6,17 @@
 import select
 import socket
 import tracemalloc
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager, suppress
+from types import SimpleNamespace
 
 import pytest
 from stand_ins import Peer, Registry, caller, heard, ok, request, running
 from test_clients import play
 from test_closing import connected, send_buffer
 
+from ospreyline.fleet import frames, links
+from ospreyline.fleet.frames import ALIVE, Entry
 from ospreyline.net import reading
 from ospreyline.net.upstreams import unread
 
@@ -195,3 +198,27 @@
         assert sum(read) > 2 * most and max(read) <= most
 
     play(scenario)
+
+
+def test_unfinished_messages_on_links_between_balancers_are_bounded_together(monkeypatch):
+    # guards against: a megabyte of an unfinished message on each of some hundred links
+    monkeypatch.setattr(links, "MAX_UNFINISHED_BYTES", 1 << 20, raising=False)
+
+    async def scenario():
+        loop = asyncio.get_running_loop()
+        own = Entry("n0", "127.0.0.1:1", "a", 1, 0, ALIVE)
+        nothing: Callable[..., None] = lambda *args: None  # noqa: E731
+        here = links.Links(loop, "bank", SimpleNamespace(warning=nothing), lambda: own, *[nothing] * 4)
+        at = await here.listen(("127.0.0.1", 0))
+        half = frames.HEADER.pack(frames.MAGIC, frames.VERSION, 500_000, 0) + b"x" * 200_000
+        peers = [await asyncio.open_connection(*at) for _ in range(20)]
+        for _, writer in peers:
+            writer.write(half)
+        ended = 0
+        while ended < 14:  # five of them fit
+            await asyncio.sleep(0)
+            ended = here.refused
+            assert sum(len(link._reader._buffer) for link in here.open) <= (1 << 20) + 200_000
+        here.close()
+
+    play(scenario)
