Rank a whole list at once, and charge nothing to list calls that are over

A whole list that leaves out all upstreams in use was not ranked at once when the rankings of the tick were used up: requests were rejected for up to 200 ms beside thousands of ready upstreams (IndexError in the test: nothing was sent). A whole list goes over all upstreams anyway, so it is ranked at once.

What came behind the end of a call in the same read was charged to the memory budget of list updates and never released (5,000 bytes held in the test). A call that is over charges nothing.

--- a/ospreyline/decide.py
+++ b/ospreyline/decide.py
@@ -300,7 +300,8 @@
         listed = {line.upstream for line in lines}
         for u in self._upstreams.values():
             u.ready = u.ready and u.id in listed
-        self.apply_list_changes(now, lines, is_first_list=not self._upstreams, from_own_watch=from_own_watch)
+        self._apply_lines(now, lines, not self._upstreams, from_own_watch)
+        self._update_candidates(now)
 
     def apply_list_changes(
         self,
@@ -314,6 +315,16 @@
         `is_first_list`: of a first list, whose upstreams need not be new; `from_own_watch`: from a watch of
         ours.
         """
+        withdrawn = self._apply_lines(now, lines, is_first_list, from_own_watch)
+        if is_first_list or self._reserve_ranking():
+            self._update_candidates(now)
+        else:
+            self._remove_candidates(now, withdrawn)
+
+    def _apply_lines(
+        self, now: float, lines: list[ListedUpstream], is_first_list: bool, from_own_watch: bool
+    ) -> list[Upstream]:
+        """Apply entries of the list without ranking; returns the upstreams that are not ready any more."""
         if from_own_watch:
             self._call_schedule.call_answered()
         new, withdrawn = [], []
@@ -342,10 +353,7 @@
                 )
                 u.reset_after_restart(now, start)  # a restarted machine is cold, whatever was learnt of it
         self._add_to_ring(new)
-        if is_first_list or self._may_rank():
-            self._update_candidates(now)
-        else:
-            self._remove_candidates(now, withdrawn)
+        return withdrawn
 
     def _add_to_ring(self, new: list[Upstream]) -> None:
         """Insert new upstreams; a few into a large ring without sorting it anew."""
@@ -355,8 +363,8 @@
         for u in new:
             insort(self._ring, u, key=lambda other: other.ring_position)
 
-    def _may_rank(self) -> bool:
-        """Whether a change of the list may be ranked at once.
+    def _reserve_ranking(self) -> bool:
+        """Reserve a ranking for a change of the list; False if it has to wait for the tick.
 
         A ranking goes over all upstreams. In a large fleet of which most is replaced, one for each change
         would take all of the processor time.
--- a/ospreyline/net/list_call.py
+++ b/ospreyline/net/list_call.py
@@ -233,7 +233,7 @@
         self._in_chunk = False
 
     def on_body(self, body: bytes) -> None:
-        if self.rejected:
+        if self.rejected or self.over:
             return
         self._buffer += body
         if self.watching and b"\n" in body:
@@ -243,6 +243,8 @@
             for line in lines:
                 if not self.over:
                     self._read_line(bytes(line))
+        if self.over:
+            return
         self._charge(len(self._buffer) + self._object_bytes)
         if self._held_bytes > MAX_LINE_BYTES:
             self.stop("a line without an end", CallEnd.TRUNCATED)
--- a/tests/test_list_storm.py
+++ b/tests/test_list_storm.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 from random import Random
 from time import process_time
@@ -78,6 +79,17 @@
     assert host.serve(1)
 
 
+def test_a_whole_list_that_leaves_out_all_upstreams_in_use_is_ranked_at_once():
+    # guards against: rejecting requests until the next ranking, as a whole list names those that are gone by
+    # leaving them out
+    host = fleet()
+    for i in range(10):
+        host.balancer.apply_list_changes(host.now, [listed(UPSTREAMS + i, i % 3)])
+    used = {u.id for locality in host.balancer._localities for u in locality.candidates}
+    host.balancer.apply_list(host.now, [listed(i, i % 3) for i in range(UPSTREAMS) if i not in used])
+    assert host.serve(1)[0] not in used
+
+
 def test_the_hash_ring_is_the_same_however_the_list_came():
     # guards against: balancers that order their upstreams by the history of their lists
     random = Random(5)
@@ -164,3 +176,17 @@
     for _ in range(2_000):
         call.on_body(b"x")
     assert process_time() - began < 0.5
+
+
+def test_a_call_that_is_over_holds_no_memory():
+    # guards against: what comes behind the end of a call, in the same read, being charged and never released
+    async def scenario():
+        registry = Registry()
+        async with running(registry=registry, known=[]) as service:
+            await heard(service, registry)
+            await registry.say(b"unreadable\n" + b"y" * 5_000)
+            while len(registry.requests) < 2:
+                await asyncio.sleep(0)
+            assert service.dispatcher.budgets.list_updates.held == 0
+
+    play(scenario)
