Acceptor: evict in constant time while it is full of registered visits

What callers saw: nothing yet.

An acceptor that is full of registered ones looked through all of its 4,096 records for a claimed one at each new visit.

Change: the ids of visits that were claimed and never registered are kept in an order of their own. The order of eviction is the same.

--- a/ospreyline/fleet/acceptor.py
+++ b/ospreyline/fleet/acceptor.py
@@ -102,6 +102,8 @@
         self.out: list[TakeoverMessage] = []
         self.stored_bytes = 0
         self.rejections = 0
+        # ids of the records of visits that were claimed and never registered, oldest first
+        self._unregistered: OrderedDict[str, None] = OrderedDict()
         self._serials: dict[str, int] = {}  # by member: serial of its last registration on that link
         self._last_session = start << 20
 
@@ -190,11 +192,14 @@
             record = self.records[message.visit_id] = TakeoverRecord(
                 message.ballot, expires_at=now + self.retention_ms
             )
+            self._unregistered[message.visit_id] = None
         elif message.ballot < record.promised:
             return self._reject(message, record)
         record.promised, record.session = message.ballot, message.session
         record.expires_at = max(record.expires_at, now + self.retention_ms)
         self.records.move_to_end(message.visit_id)
+        if message.visit_id in self._unregistered:
+            self._unregistered.move_to_end(message.visit_id)
         return self._accept(now, message, record)
 
     def _make_room(self, added_bytes: int, excluding: str = "") -> bool:
@@ -217,17 +222,22 @@
 
     def _first_evictable(self, excluding: str) -> str | None:
         """The oldest visit that was claimed and never registered; without one, the oldest finished one."""
-        finished = None
-        for visit_id, record in self.records.items():
-            if visit_id == excluding or not record.finished:
-                continue
-            if not record.acceptors:
-                return visit_id  # whoever claims ids at random evicts no answers
-            finished = finished or visit_id
-        return finished
+        # whoever claims ids at random evicts no answers
+        unregistered = next((visit_id for visit_id in self._unregistered if visit_id != excluding), None)
+        if unregistered is not None:
+            return unregistered
+        return next(
+            (
+                visit_id
+                for visit_id, record in self.records.items()
+                if record.finished and visit_id != excluding
+            ),
+            None,
+        )
 
     def _discard(self, visit_id: str) -> None:
         record = self.records.pop(visit_id)
+        self._unregistered.pop(visit_id, None)
         self.stored_bytes -= len(record.body) + len(record.answer)
 
     def expire(self, now: float) -> None:
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -175,6 +175,33 @@
     assert not one.records and one.stored_bytes == 0
 
 
+def test_a_full_acceptor_looks_through_few_records_for_each_new_one(monkeypatch):
+    # Guards against registrations that look at every stored record once an acceptor is full.
+    monkeypatch.setattr(acceptor, "MAX_RECORDS", 500)
+    looked_at = 0
+    finished = acceptor.TakeoverRecord.finished.fget
+
+    def counted(record):
+        nonlocal looked_at
+        looked_at += 1
+        return finished(record)
+
+    one = Acceptor("g0", 1_000.0, 1)
+    session = one.start_session("o")
+
+    def register_and_answer(number):
+        visit = f"v{number}"
+        assert one.receive(0.0, message("register", visit, session, b"x", serial=number + 1)).kind == "yes"
+        assert one.receive(0.0, message("answer", visit, session, b"y")).kind == "yes"
+
+    for number in range(500):
+        register_and_answer(number)
+    monkeypatch.setattr(acceptor.TakeoverRecord, "finished", property(counted))
+    for number in range(500, 600):
+        register_and_answer(number)
+    assert len(one.records) == 500 and looked_at <= 2 * 100
+
+
 def test_words_of_a_former_session_are_refused():
     one = Acceptor("g0", 1_000.0, 1)
     first = one.start_session("o")
