Takeover: a superseded owner still records its answer, and sends nothing more

Cause: two of three acceptors record the owner's grant and it sends; the third has the claim of the other balancer first and refuses the owner. Superseded so, the owner forgot the visit: its answer was recorded nowhere. A visit that Takeover does not know may be sent, so a further attempt would also have gone out without a grant. The same for an adopted visit, which was not even notified.

Change: a superseded visit, owned or adopted, is kept until the proxy removes it; an answer is recorded for it as for any other, and a further fetch is refused. Why this works: acceptors take an answer under any ballot and pass it on to the claimant that waits for it.

--- a/ospreyline/fleet/takeover.py
+++ b/ospreyline/fleet/takeover.py
@@ -138,6 +138,8 @@
         self.peers: dict[str, Peer] = {name: Peer(True, self.acceptor.start_session(name))}
         self._acceptors: list[tuple[str, str]] = [(name, zone)]
         self._by_id: dict[str, OwnedVisit] = {}
+        # by tag: visits that another balancer has taken over while our proxy still has them
+        self._superseded: dict[int, OwnedVisit] = {}
         self._orphans: list[tuple[float, str, str]] = []  # (ms at which it is adopted, visit id, its owner)
         # tags of adopted visits count down from here; -1 itself marks a client without a visit
         self._last_adopted_tag = -1
@@ -309,6 +311,9 @@
     ) -> bool:
         """Whether a fetch may be written at once; else the event `go` or `no` follows. `after_stall`: this
         process stalled, so another balancer may have taken the visit over."""
+        if tag in self._superseded:
+            self._emit("no", self._superseded[tag], number)
+            return False
         visit = self.visits.get(tag)
         if visit is None:
             return True
@@ -370,10 +375,15 @@
 
     def record_answer(self, now: float, tag: int, body: bytes, after_stall: bool = False) -> bool:
         """Store an answer; returns whether it may be sent at once; else `told` or `lost` follows."""
-        visit = self._registered_visit(tag)
+        # Whoever has taken a visit over waits for the answer of the fetch that was in progress then.
+        superseded = self._superseded.pop(tag, None)
+        visit = superseded or self._registered_visit(tag)
         if visit is None:
             return True
         visit.proposer.record_answer(body if len(body) <= MAX_ANSWER_BYTES else b"")
+        if superseded is not None:
+            self._flush(now, superseded, last=True)
+            return True
         if after_stall:
             self._wait_for(now, visit, "told", self.wait_ms)
         self._flush(now, visit, last=not after_stall)
@@ -389,6 +399,7 @@
 
     def remove(self, tag: int) -> None:
         """The proxy has removed the visit."""
+        self._superseded.pop(tag, None)
         if (visit := self.visits.get(tag)) is not None:
             self._discard(visit)
 
@@ -605,7 +616,10 @@
             self._advance_claim(now, visit)
         elif proposer.superseded or (visit.waiting_for == "told" and proposer.promised > proposer.ballot):
             # A balancer that registered the same id has not taken it over: its client used one id twice.
-            self._finish("lost" if proposer.has_quorum or proposer.promised[0] else "unknown", visit)
+            if proposer.has_quorum or proposer.promised[0]:
+                self._lose(visit)
+            else:
+                self._finish("unknown", visit)
         elif visit.waiting_for == "permit":
             if proposer.granted:
                 visit.waiting_for, visit.wait_until = "", inf
@@ -630,6 +644,13 @@
         elif proposer.unregistered and visit.kind is Kind.READ_LIKE:
             self._discard(visit)
 
+    def _lose(self, visit: OwnedVisit) -> None:
+        """Another balancer has taken the visit over: no fetch of it is sent here any more."""
+        self._discard(visit)
+        self._superseded[visit.tag] = visit
+        self.counts["lost"] += 1
+        self._emit("lost", visit)
+
     def _proceed_without_quorum(self, visit: OwnedVisit) -> bool:
         """A quorum has refused to store the visit, so nobody can take it over; returns whether it proceeds
         without a quorum."""
@@ -646,7 +667,7 @@
         self._discard(visit)
         if visit.orphan:
             return
-        self.counts[what] += what in ("lost", "unknown")
+        self.counts[what] += what == "unknown"
         self._emit(what, visit, details)
 
 
--- a/ospreyline/net/takeover_adapter.py
+++ b/ospreyline/net/takeover_adapter.py
@@ -300,7 +300,8 @@
             return self.takeover.remove(tag)  # invalid data from a peer is ignored
         prefix = self._dispatcher.prefixes.get(stored.prefix.encode())
         if prefix is None:
-            return self.takeover.abandon(now, tag)
+            self.takeover.abandon(now, tag)
+            return self.takeover.remove(tag)
         request = Request(
             stored.method,
             stored.path,
