--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -23,6 +23,7 @@
 MEMORY_MB = 48
 PART_BYTES = (MEMORY_MB << 20) // 8  # the most that one part may hold, by docs/CAPACITY.md
 CLIENTS = 60
+LINGERING_BYTES = 16_384  # of a connection without a request, half of the longest head
 UPSTREAMS = 30
 HEAD = b"POST /change HTTP/1.1\r\nHost: origin.svc\r\nX-Trace-Id: %x\r\n"
 CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
@@ -89,6 +90,26 @@
     play(scenario)
 
 
+def test_a_rejected_request_is_not_kept_while_its_connection_lingers():
+    # guards against: heads that were answered with an error, kept until their connections were closed
+    async def scenario():
+        async with running(Peer(), sockets=1024, memory_mb=MEMORY_MB) as service:
+            tracemalloc.start()
+            try:
+                bad = await flood(service, b"A: 1\r\n" * 5_000 + b"\0", CLIENTS)
+                while service.dispatcher.counts["door_400"] < CLIENTS:
+                    await asyncio.sleep(0)
+                lingering = [client for client in service.clients.open if client._finished]
+                held = tracemalloc.get_traced_memory()[0]
+            finally:
+                tracemalloc.stop()
+            assert len(lingering) == CLIENTS and held <= CLIENTS * LINGERING_BYTES
+            for sock in bad:
+                sock.close()
+
+    play(scenario)
+
+
 def test_whole_requests_over_the_memory_for_them_are_refused():
     # guards against: only what is still received being bounded, and not what waits for its answer
     async def scenario():
