Lease: a list service that is reached and not heard blocks sends until it is heard

Cause: exception (4) of the lease ended every block four times `MustAskInUs` after its beginning, however often the service was reached meanwhile.

Change: the four times `MustAskInUs` count from the last connection to the service that came up, whatever became of it; after so long without any, requests go on as before. The same for a lost update and for a process that has not heard yet. Why it works: while a change may count as notified the service was reachable, and calls are made every few seconds, so the time never runs out.

The planted mistakes of the exploration that limit a loss also take the new bound out, and are found as before.

--- a/ospreyline/lease.py
+++ b/ospreyline/lease.py
@@ -24,7 +24,8 @@
 # ms after which a balancer counts as notified of a change by a reachable service, whether or not it arrived;
 # fixed by the page on the standing test
 NOTIFIED_AFTER_MS = 6_000.0
-# times `must_ask_in`: how long a list may be used after a failed call, a bound set by the operators
+# times `must_ask_in`: how long a list may be used after a failed call, a bound set by the operators. So long
+# without any connection to the service, sends go on with the list that there is
 MAX_AGE_FACTOR = 4.0
 FULL_LIST_VERSION = 1 << 62  # as the version of a lost update: only the full list settles it
 # ms without a lease after which a balancer reports itself ready all the same: if the whole bank is cut off
@@ -181,6 +182,7 @@
         "_no_update_since",
         "_proven_at",
         "_pushed",
+        "_reached_at",
         "expires_at",
     )
 
@@ -193,6 +195,9 @@
         ] = {}  # by call: ms; its unread update may have been written from then on
         self._behind: dict[int, float] = {}  # by call: ms; unread lines may have been written from then on
         self._losses = _Losses()
+        # ms; a connection to the service was last open. What it had then counts as received 6 s later,
+        # whatever became of the call
+        self._reached_at = -inf
         self._latest_call = 0
         self._first_call_failed = False
         self._grace, self._max_age = 0.0, inf
@@ -227,7 +232,7 @@
     def block_reason(self, now: float) -> BlockReason | None:
         """Why sends are blocked; None if they are not."""
         # what counted as received before this process started has no grace left
-        if self._no_update_since <= now < self._no_update_since + self._max_age:
+        if self._no_update_since <= now < self._unreached_since(self._no_update_since) + self._max_age:
             return BlockReason.NO_UPDATE_YET
         arriving = self._arriving.values()
         if self._grace_over(now, self._losses.first, self._losses.last) or (
@@ -244,7 +249,11 @@
     def _grace_over(self, now: float, first: float, last: float) -> bool:
         """Whether the grace is over for updates that count as received between `first` and `last`."""
         # without the upper bound, a service that broke off an answer and then died would block sends for good
-        return first + self._grace <= now < last + self._max_age
+        return first + self._grace <= now < self._unreached_since(last) + self._max_age
+
+    def _unreached_since(self, since: float) -> float:
+        """When the service was last reached, if that was after `since` (ms)."""
+        return max(since, self._reached_at)
 
     @property
     def has_lost_update(self) -> bool:
@@ -253,6 +262,7 @@
 
     def apply(self, now: float, message: LeaseMessage) -> None:
         """Applies what became of a call."""
+        self._note_connection(now, message)
         match message:
             case CallStarted(call):
                 self._latest_call = max(self._latest_call, call)
@@ -291,6 +301,14 @@
                     self._prove(now)
         self._renew()
 
+    def _note_connection(self, now: float, message: LeaseMessage) -> None:
+        """Notes when a connection to the service was last open, by what became of a call on it."""
+        match message:
+            case UpdateArriving() | UpdateRead() | MessageComplete() | UpdateLost():
+                self._reached_at = now
+            case CallTimedOut(_, age):
+                self._reached_at = max(self._reached_at, now - 1e3 * age)
+
     def _prove(self, now: float) -> None:
         self._proven_at, self._no_update_since = now, inf
 
--- a/tests/test_explore_lists.py
+++ b/tests/test_explore_lists.py
@@ -46,6 +46,7 @@
             self._losses.last = now + duration_ms - self._max_age
 
     patch.setattr(ListLease, "apply", wrong)
+    patch.setattr(ListLease, "_unreached_since", lambda self, since: since)
 
 
 def reset_before_any_data_blocks_for_1_s(patch):
