Lease: what the service has counts as received 4 s after a move, unless it is heard

Cause: the lease knew the 6 s of a service that can be reached, and not "what discovery has to tell counts as told 4 s after SIGHUP", which is earlier there.

Change: `ServiceMoved` starts the 4 s; the first answer to a call made since ends them. A refused connection ends them only from 4 s on: until then the service may still come up and notify. A further move does not begin them anew. The exploration counts a drain that began before the move as notified 4 s after it.

--- a/ospreyline/check/list_lease.py
+++ b/ospreyline/check/list_lease.py
@@ -4,7 +4,8 @@
 which decides when the next call starts. `list_world` simulates the list service and connections. One
 server begins to drain at any of the points that matter. The balancer counts as notified at the first of:
 the drain is written on any of its calls; 6 s after a call fell silent, if the drain was written on it; 6 s
-after the drain began, if the service can be reached. A path is one combination of all choices; all paths
+after the drain began, if the service can be reached; 4 s after the balancer was led to another service that
+had the drain then. A path is one combination of all choices; all paths
 are explored depth first.
 
 Checked at every step of every path:
--- a/ospreyline/check/list_world.py
+++ b/ospreyline/check/list_world.py
@@ -25,6 +25,7 @@
 
 GRACE_MS, MUST_ASK_IN_MS, BALANCER_COUNT = 500.0, 10_000.0, 4
 STALL_MS = 150.0  # longest stall of a process before it reads, and again before it writes
+NOTIFIED_AFTER_MOVE_MS = 4_000.0  # and, where it is led to another service, after this of what that has
 NOTIFIED_AFTER_MS = (
     6_000.0  # a reachable service counts as having notified the balancer of a change after this
 )
@@ -309,6 +310,7 @@
         self.outcome_of: dict[Connection, Outcome] = {}
         self.tasks: list[_Task] = []
         self.drain_began_at = inf  # ms; when u0 began to drain
+        self.moved_at = inf  # ms; when the balancer was led to another service
         self.notified_by_write = inf  # ms; when a write made the balancer count as notified
         self.notified_before_last_write = inf  # the same, without the latest write
         self.last_refused_at = -inf  # ms; when a call last found the service down
@@ -357,7 +359,11 @@
 
     def notified_at(self) -> float:
         """From when the balancer counts as notified of the drain of u0 (ms)."""
-        return min(self.notified_by_write, max(self.drain_began_at, self.last_refused_at) + NOTIFIED_AFTER_MS)
+        by_time = max(self.drain_began_at, self.last_refused_at) + NOTIFIED_AFTER_MS
+        by_move = self.moved_at + NOTIFIED_AFTER_MOVE_MS
+        if self.drain_began_at <= self.moved_at and self.last_refused_at < by_move:
+            by_time = min(by_time, by_move)
+        return min(self.notified_by_write, by_time)
 
     def offer_drain(self, description: str) -> None:
         """A point at which u0 may begin to drain, by choice."""
@@ -523,6 +529,7 @@
     def move(self) -> None:
         self.offer_drain("before the balancer is led to another service")
         self.record("the balancer is led to another service")
+        self.moved_at = self.now
         self.process.lists.change_address(SECOND_SERVICE)
         self.process.call_schedule.call_started(self.now, new_service=True)
         self.process.run_pending()
@@ -534,7 +541,7 @@
         for connection in self.connections:
             connection.abort()
         # writes to the former process do not notify the new one; only `NOTIFIED_AFTER_MS` does
-        self.notified_by_write = self.notified_before_last_write = inf
+        self.notified_by_write = self.notified_before_last_write = self.moved_at = inf
         self.process = Process(self)
         self.process.call_schedule.begin(self.now, True)
 
--- a/ospreyline/lease.py
+++ b/ospreyline/lease.py
@@ -24,6 +24,9 @@
 # ms after which a balancer counts as notified of a change by a reachable service, whether or not it arrived;
 # fixed by the page on the standing test
 NOTIFIED_AFTER_MS = 6_000.0
+# ms after a move to another address of the service, when what it has counts as received; fixed by the page on
+# new configurations
+NOTIFIED_AFTER_MOVE_MS = 4_000.0
 # times `must_ask_in`: how long a list may be used after a failed call, a bound set by the operators. So long
 # without any connection to the service, sends go on with the list that there is
 MAX_AGE_FACTOR = 4.0
@@ -49,6 +52,11 @@
     call: int
 
 
+@dataclass(slots=True, frozen=True)
+class ServiceMoved:
+    """A new configuration names another address of the list service; later calls go there."""
+
+
 @dataclass(slots=True, frozen=True)
 class UpdateArriving:
     """The first bytes of an answer, or of an update, have come on a call, and not the rest.
@@ -132,6 +140,7 @@
 
 LeaseMessage = (
     CallStarted
+    | ServiceMoved
     | UpdateArriving
     | NoUpdateArriving
     | ReadingBehind
@@ -176,9 +185,11 @@
         "_behind",
         "_first_call_failed",
         "_grace",
+        "_last_call_before_move",
         "_latest_call",
         "_losses",
         "_max_age",
+        "_moved_at",
         "_no_update_since",
         "_proven_at",
         "_pushed",
@@ -199,6 +210,8 @@
         # whatever became of the call
         self._reached_at = -inf
         self._latest_call = 0
+        self._moved_at = inf  # ms; to an address that has not been heard since
+        self._last_call_before_move = 0
         self._first_call_failed = False
         self._grace, self._max_age = 0.0, inf
         self._pushed = False
@@ -241,11 +254,15 @@
             return BlockReason.UPDATE_LOST
         if self._behind and now >= min(self._behind.values()) + self._grace:
             return BlockReason.READING_BEHIND
-        notified_at = self._proven_at + NOTIFIED_AFTER_MS
+        notified_at = self._notified_without_call()
         if self._grace_over(now, notified_at, notified_at):
             return BlockReason.OUT_OF_DATE
         return None
 
+    def _notified_without_call(self) -> float:
+        """When what the service has counts as received without any call (ms)."""
+        return min(self._proven_at + NOTIFIED_AFTER_MS, self._moved_at + NOTIFIED_AFTER_MOVE_MS)
+
     def _grace_over(self, now: float, first: float, last: float) -> bool:
         """Whether the grace is over for updates that count as received between `first` and `last`."""
         # without the upper bound, a service that broke off an answer and then died would block sends for good
@@ -266,6 +283,9 @@
         match message:
             case CallStarted(call):
                 self._latest_call = max(self._latest_call, call)
+            case ServiceMoved():
+                if self._moved_at == inf:
+                    self._moved_at, self._last_call_before_move = now, self._latest_call
             case UpdateArriving(call):
                 self._arriving.setdefault(call, now)
             case NoUpdateArriving(call):
@@ -279,6 +299,8 @@
                 if self._losses.settled_by(message):
                     self._losses = _Losses()
                 self._prove(now)
+                if call > self._last_call_before_move:
+                    self._moved_at = inf
             case FormerServiceRead(call):
                 # no evidence: the former service may be behind the current one
                 self._arriving.pop(call, None)
@@ -299,6 +321,8 @@
                 if not self._pushed:
                     # a pushed list counts as received also by a process that has not heard from its agent
                     self._prove(now)
+                    if now >= self._moved_at + NOTIFIED_AFTER_MOVE_MS:
+                        self._moved_at = inf  # nobody was there who could have notified us by then
         self._renew()
 
     def _note_connection(self, now: float, message: LeaseMessage) -> None:
@@ -314,5 +338,5 @@
 
     def _renew(self) -> None:
         unread = *self._arriving.values(), *self._behind.values()
-        notified_at = min(self._losses.first, self._proven_at + NOTIFIED_AFTER_MS, *unread)
+        notified_at = min(self._losses.first, self._notified_without_call(), *unread)
         self.expires_at = min(self._no_update_since, notified_at + self._grace)
--- a/ospreyline/net/discovery.py
+++ b/ospreyline/net/discovery.py
@@ -24,6 +24,7 @@
     MessageComplete,
     NoUpdateArriving,
     ReadingBehind,
+    ServiceMoved,
     UpdateArriving,
     UpdateLost,
     UpdateRead,
@@ -113,6 +114,7 @@
         self._move_pending = self._full_list_due = True
         self._former_withdrawals = []
         self.rev = 0  # the new service may number versions differently, so everything is requested
+        self._on_lease_message(ServiceMoved())
         self.watch(True)
 
     @property
--- a/tests/test_explore_lists.py
+++ b/tests/test_explore_lists.py
@@ -8,7 +8,7 @@
 
 from ospreyline import lease
 from ospreyline.check.list_lease import BEGINNINGS, OUTCOMES, Explorer
-from ospreyline.lease import ConnectionRefused, ListLease, MessageComplete, UpdateLost
+from ospreyline.lease import ConnectionRefused, ListLease, MessageComplete, ServiceMoved, UpdateLost
 from ospreyline.net.list_call import CallEnd, ListCall
 
 
@@ -102,6 +102,16 @@
     patch.setattr(ListLease, "apply", wrong)
 
 
+def move_is_ignored(patch):
+    apply = ListLease.apply
+
+    def wrong(self, now, message):
+        if not isinstance(message, ServiceMoved):
+            apply(self, now, message)
+
+    patch.setattr(ListLease, "apply", wrong)
+
+
 def nothing_settles_a_loss(patch):
     patch.setattr(lease._Losses, "settled_by", lambda self, read: False)
 
@@ -115,6 +125,10 @@
     return outcome.stall or (outcome.delay == 100.0 and outcome.cut_place == 0)
 
 
+def is_rejected(outcome):
+    return outcome.kind == "rejected"
+
+
 def any_outcome(outcome):
     return True
 
@@ -131,6 +145,7 @@
         (answer_requested_before_a_loss_settles_it, "waiting", 2, is_one_of_two_concurrent, "grace"),
         (regular_end_counts_as_evidence, "first", 1, any_outcome, "grace"),
         (refused_connection_settles_losses, "broken", 1, any_outcome, "grace"),
+        (move_is_ignored, "moved", 1, is_rejected, "grace"),
         (nothing_settles_a_loss, "broken", 1, any_outcome, "liveness"),
     ],
     ids=lambda value: value.__name__ if callable(value) else "",
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -11,6 +11,7 @@
 from ospreyline.lease import (
     FULL_LIST_VERSION,
     MAX_AGE_FACTOR,
+    NOTIFIED_AFTER_MOVE_MS,
     NOTIFIED_AFTER_MS,
     STALL_RESERVE_MS,
     BlockReason,
@@ -22,6 +23,7 @@
     ListLease,
     MessageComplete,
     NoUpdateArriving,
+    ServiceMoved,
     UpdateArriving,
     UpdateLost,
     UpdateRead,
@@ -296,6 +298,52 @@
     assert not lease.blocks_sends(20_000.0 + GRACE_LEFT)
 
 
+@pytest.mark.parametrize(
+    "steps",
+    [
+        [],
+        [MessageComplete(2)],
+        [CallTimedOut(2, 2.5)],
+        [NoUpdateArriving(2)],
+        [FormerServiceRead(1)],
+        [UpdateRead(1, 9, True)],
+        [ConnectionRefused(2)],
+        [ServiceMoved(), CallStarted(3), MessageComplete(3)],
+    ],
+    ids=[
+        "time",
+        "turned away",
+        "silent",
+        "not asked",
+        "former address",
+        "a former call",
+        "refused",
+        "moved again",
+    ],
+)
+def test_what_the_service_has_counts_as_received_4_s_after_a_move(steps):
+    # guards against sends to upstreams that drain by a service that a new configuration names
+    lease = lease_after(
+        (1_000.0, UpdateRead(1, 3, False)), (1_000.0, ServiceMoved()), (1_000.0, CallStarted(2))
+    )
+    for message in steps:
+        lease.apply(4_500.0, message)
+    assert grace_ends_after(lease, 1_000.0 + NOTIFIED_AFTER_MOVE_MS)
+    lease.apply(9_000.0, CallStarted(4))
+    lease.apply(9_000.0, UpdateRead(4, 1, True))
+    assert grace_ends_after(lease, 9_000.0 + NOTIFIED_AFTER_MS)
+
+
+@pytest.mark.parametrize(
+    ("at", "message"),
+    [(4_000.0, UpdateRead(2, 1, True)), (5_000.0, ConnectionRefused(2))],
+    ids=["heard", "not there after 4 s"],
+)
+def test_a_move_to_a_service_that_is_heard_or_not_there_ends_no_lease(at, message):
+    lease = lease_after((1_000.0, ServiceMoved()), (1_000.0, CallStarted(2)), (at, message))
+    assert grace_ends_after(lease, at + NOTIFIED_AFTER_MS)
+
+
 REACHED = pytest.mark.parametrize(
     "reached",
     [MessageComplete(2), UpdateLost(2), UpdateArriving(2), CallTimedOut(2, 0.0)],
