Takeover: tell the client of a tagged request of one zone that it may have run

Cause: an unknown outcome of every kind but mutating was refused.

Four rows of the new tests fail on its Takeover (with the new argument added and ignored).

Change: `host.repeat_is_harmless` is the one table of kind and scope; decisions, Takeover, its adapter and the laboratory's policies read it. Decisions are the same.

--- a/ospreyline/decide.py
+++ b/ospreyline/decide.py
@@ -22,7 +22,16 @@
 from struct import Struct
 
 from ospreyline.call_schedule import CallSchedule
-from ospreyline.host import DedupScope, Deployment, End, Host, Kind, ListedUpstream, Readiness
+from ospreyline.host import (
+    DedupScope,
+    Deployment,
+    End,
+    Host,
+    Kind,
+    ListedUpstream,
+    Readiness,
+    repeat_is_harmless,
+)
 from ospreyline.lease import ListLease
 from ospreyline.state import Fetch, RequestClass, Visit
 
@@ -631,9 +640,8 @@
         """Whether a bounce would be true: it tells the client that a retry is harmless."""
         request_class = visit.request_class
         return (
-            request_class.kind is Kind.READ_LIKE
+            repeat_is_harmless(request_class.kind, request_class.scope)
             or visit.first_maybe_executed() is None
-            or (request_class.kind is Kind.TAGGED and request_class.scope is DedupScope.ALL)
         )
 
     def _send(self, visit: Visit, u: Upstream, now: float, trial: bool = False) -> bool:
--- a/ospreyline/fleet/takeover.py
+++ b/ospreyline/fleet/takeover.py
@@ -66,6 +66,7 @@
         "proposer",
         "reclaim_at",
         "registered",
+        "repeat_harmless",
         "tag",
         "visit_id",
         "wait_until",
@@ -75,9 +76,16 @@
     )
 
     def __init__(
-        self, tag: int, visit_id: str, kind: Kind, proposer: Proposer, client_deadline: float
+        self,
+        tag: int,
+        visit_id: str,
+        kind: Kind,
+        proposer: Proposer,
+        client_deadline: float,
+        repeat_harmless: bool,
     ) -> None:
         self.tag, self.visit_id, self.kind, self.proposer = tag, visit_id, kind, proposer
+        self.repeat_harmless = repeat_harmless  # its client may start anew though it may have run
         self.registered = False
         self.free_fetches = 0  # fetches that need no grant
         self.waiting_fetch = -1  # the one that waits for its grant
@@ -248,12 +256,24 @@
         if visit.orphan:
             self._discard(visit)
         else:
-            self._finish("unknown" if visit.kind is Kind.MUTATING else "bounce", visit)
+            self._finish(_event_if_unknown(visit.repeat_harmless), visit)
 
     # own visits
 
-    def admit(self, now: float, tag: int, visit_id: str, kind: Kind, body: bytes, left: float) -> bool:
-        """Admit a new visit; returns whether it may proceed. It is registered when it is queued or sent."""
+    def admit(
+        self,
+        now: float,
+        tag: int,
+        visit_id: str,
+        kind: Kind,
+        body: bytes,
+        left: float,
+        repeat_harmless: bool,
+    ) -> bool:
+        """Admit a new visit; returns whether it may proceed. It is registered when it is queued or sent.
+
+        `repeat_harmless`: as `host.repeat_is_harmless` says of its kind and scope.
+        """
         names = choose_acceptors(visit_id, [m for m in self._acceptors if m[0] != self.name])
         responsive = [n for n in names if self._responsive(now, n)]
         if not names or len(responsive) <= len(names) // 2:
@@ -273,15 +293,21 @@
             left,
             repeatable=kind is not Kind.MUTATING,
         )
-        visit = self._track(tag, visit_id, kind, proposer, now + left)
+        visit = self._track(tag, visit_id, kind, proposer, now + left, repeat_harmless)
         visit.free_fetches = max(0, self.max_fetches - 1) if kind is Kind.READ_LIKE else 0
         return True
 
     def _track(
-        self, tag: int, visit_id: str, kind: Kind, proposer: Proposer, client_deadline: float
+        self,
+        tag: int,
+        visit_id: str,
+        kind: Kind,
+        proposer: Proposer,
+        client_deadline: float,
+        repeat_harmless: bool,
     ) -> OwnedVisit:
         visit = self.visits[tag] = self._by_id[visit_id] = OwnedVisit(
-            tag, visit_id, kind, proposer, client_deadline
+            tag, visit_id, kind, proposer, client_deadline, repeat_harmless
         )
         return visit
 
@@ -411,15 +437,22 @@
     # claims for clients that ask again
 
     def claim_for_client(
-        self, now: float, tag: int, visit_id: str, kind: Kind, body: bytes, left: float
+        self,
+        now: float,
+        tag: int,
+        visit_id: str,
+        kind: Kind,
+        body: bytes,
+        left: float,
+        repeat_harmless: bool,
     ) -> None:
         """Claim another balancer's visit for a client that asks again: `answer`, `unknown`, `take` or
         `bounce` follows."""
         self.counts["asked_again"] += 1
         if visit_id in self._by_id:
-            self.events.append(("unknown" if kind is Kind.MUTATING else "bounce", tag, None))
+            self.events.append((_event_if_unknown(repeat_harmless), tag, None))
         else:
-            self._claim(now, tag, visit_id, kind, body, left, (0, ""))
+            self._claim(now, tag, visit_id, kind, body, left, (0, ""), repeat_harmless)
 
     def _claim(
         self,
@@ -430,6 +463,7 @@
         body: bytes,
         left: float,
         above: tuple[int, str],
+        repeat_harmless: bool = False,
         orphan: bool = False,
     ) -> None:
         names = choose_acceptors(visit_id, self._acceptors)
@@ -444,7 +478,7 @@
             repeatable=kind is not Kind.MUTATING,
             client_retried=not orphan,
         )
-        visit = self._track(tag, visit_id, kind, proposer, now + left)
+        visit = self._track(tag, visit_id, kind, proposer, now + left, repeat_harmless)
         visit.registered, visit.orphan = True, orphan
         self._wait_for(now, visit, "claim", CLAIM_WAIT_FACTOR * self.wait_ms)
         proposer.unreachable = {n for n, _ in self._acceptors if n not in sessions}
@@ -476,7 +510,7 @@
             record.body,
             record.client_deadline - now,
             record.promised,
-            True,
+            orphan=True,
         )
 
     def _advance_claim(self, now: float, visit: OwnedVisit) -> None:
@@ -671,5 +705,11 @@
         self._emit(what, visit, details)
 
 
+def _event_if_unknown(repeat_harmless: bool) -> str:
+    """What a client that asks is told if nobody knows whether its visit ran: to retry only if that is
+    harmless."""
+    return "bounce" if repeat_harmless else "unknown"
+
+
 # by the first byte of an encoded request
 KIND_BY_BYTE = {b"r": Kind.READ_LIKE, b"t": Kind.TAGGED, b"m": Kind.MUTATING}
--- a/ospreyline/host.py
+++ b/ospreyline/host.py
@@ -29,6 +29,19 @@
     CELL = "cell"
 
 
+def repeat_is_harmless(kind: Kind, scope: DedupScope) -> bool:
+    """Whether a client may be told to retry a visit that may have executed.
+
+    | visit | a retry may be sent | harmless |
+    | --- | --- | --- |
+    | read-like | anywhere | yes |
+    | tagged, scope all | anywhere: each upstream drops the repeat | yes |
+    | tagged, scope zone or cell | outside the scope, where it executes again | no |
+    | mutating | anywhere, where it executes again | no |
+    """
+    return kind is Kind.READ_LIKE or (kind is Kind.TAGGED and scope is DedupScope.ALL)
+
+
 class End(IntEnum):
     """How a backend fetch or a probe ended."""
 
--- a/ospreyline/lab/arms.py
+++ b/ospreyline/lab/arms.py
@@ -28,6 +28,7 @@
     ListedUpstream,
     PathPrefix,
     Readiness,
+    repeat_is_harmless,
 )
 from ospreyline.lab.bank import Balancer, Maker, Policy
 from ospreyline.lab.servers import Server
@@ -174,12 +175,7 @@
 
     def _give_up(self, visit: PolicyVisit, prior: int | None) -> None:
         """Bounces the visit where a repeat is harmless, else fails it."""
-        kind = visit.prefix.kind
-        if (
-            prior is None
-            or kind is Kind.READ_LIKE
-            or (kind is Kind.TAGGED and visit.prefix.scope is DedupScope.ALL)
-        ):
+        if prior is None or repeat_is_harmless(visit.prefix.kind, visit.prefix.scope):
             self.host.bounce(visit.tag, self.settings.max_retry_after)
         else:
             self.host.answer_error(visit.tag)
--- a/ospreyline/net/takeover_adapter.py
+++ b/ospreyline/net/takeover_adapter.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from ospreyline.fleet.takeover import KIND_BY_BYTE, PriorFetch, Takeover
-from ospreyline.host import Kind
+from ospreyline.host import Kind, repeat_is_harmless
 from ospreyline.net.clients import ClientConnection, Request
 from ospreyline.net.retry_proof import same_proof, visit_suffix
 from ospreyline.net.upstreams import ExchangeFailure, ExchangeStage, FailureReason
@@ -40,6 +40,11 @@
     proof: bytes = b""  # the secret itself is not stored
 
 
+def _repeat_harmless(pending: PendingVisit) -> bool:
+    """Whether its client may be told to retry though the visit may have run."""
+    return repeat_is_harmless(pending.prefix_settings.kind, pending.prefix_settings.scope)
+
+
 class TakeoverAdapter:
     """The event dispatcher's side of takeover."""
 
@@ -107,17 +112,29 @@
         request = pending.request
         if request.asks_for_outcome and not request.proof:
             self._dispatcher.counts["asked_without_secret"] += 1
-            self._reply_unknown(now, pending, kind)
+            self._reply_unknown(now, pending)
             return False
         if request.asks_for_outcome:
             self._retry_deadlines[pending.tag] = now + left
             self.takeover.claim_for_client(
-                now, pending.tag, self._visit_id(request), kind, self._encode_request(request, kind), left
+                now,
+                pending.tag,
+                self._visit_id(request),
+                kind,
+                self._encode_request(request, kind),
+                left,
+                _repeat_harmless(pending),
             )
             self._send_messages()
             return False
         if not self.takeover.admit(
-            now, pending.tag, self._visit_id(request), kind, self._encode_request(request, kind), left
+            now,
+            pending.tag,
+            self._visit_id(request),
+            kind,
+            self._encode_request(request, kind),
+            left,
+            _repeat_harmless(pending),
         ):
             self._dispatcher.refuse(pending.tag)
             return False
@@ -265,12 +282,12 @@
         elif what == "bounce":
             dispatcher.refuse(pending.tag)
 
-    def _reply_unknown(self, now: float, pending: PendingVisit, kind: Kind) -> None:
+    def _reply_unknown(self, now: float, pending: PendingVisit) -> None:
         """Answer a client that asks for an outcome which nobody can tell it."""
-        if kind is Kind.MUTATING:
-            self._reply_may_have_run(now, pending)
-        else:
+        if _repeat_harmless(pending):
             self._dispatcher.refuse(pending.tag)
+        else:
+            self._reply_may_have_run(now, pending)
 
     def _reply_may_have_run(self, now: float, pending: PendingVisit) -> None:
         dispatcher = self._dispatcher
--- a/tests/test_gone.py
+++ b/tests/test_gone.py
@@ -486,6 +486,7 @@
                 asked_kind := next(p.kind for p in dispatcher._config.deployment.prefixes if p.name == "tag"),
                 b"tbody",
                 2_000.0,
+                repeat_harmless=False,
             )
             bank.at["m1"].register_queued(clock(), 1)
             bank.deliver()
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -15,7 +15,7 @@
 from ospreyline.fleet.acceptor import choose_acceptors
 from ospreyline.fleet.frames import Heartbeat, TakeoverMessage, encode
 from ospreyline.fleet.takeover import Takeover, bank_acceptors
-from ospreyline.host import Kind
+from ospreyline.host import DedupScope, Kind, repeat_is_harmless
 
 READ, PAY, CHANGE = Kind.READ_LIKE, Kind.TAGGED, Kind.MUTATING
 BODY = {READ: b"rread", PAY: b"tpay", CHANGE: b"mchange"}
@@ -24,8 +24,9 @@
 class Net:
     """Some members, all linked; messages are delivered by `run`, unless `lost` drops them."""
 
-    def __init__(self, count: int = 6, refuses: bool = False) -> None:
+    def __init__(self, count: int = 6, refuses: bool = False, scope: DedupScope = DedupScope.ALL) -> None:
         self.now = 0.0
+        self.scope = scope  # of tagged visits
         self.lost: Callable[[str, str, Any], bool] = lambda a, b, m: False
         self.zones = {f"m{i}": "abc"[i % 3] for i in range(count)}
         self.at: dict[str, Takeover] = {}
@@ -67,14 +68,18 @@
                 one.member_lost(self.now, name)
 
     def take(self, name: str, kind: Kind, id_: str = "v", left: float = 2_000.0, tag: int = 1) -> bool:
-        return self.at[name].admit(self.now, tag, id_, kind, BODY[kind], left)
+        return self.at[name].admit(self.now, tag, id_, kind, BODY[kind], left, self.repeat_harmless(kind))
+
+    def repeat_harmless(self, kind: Kind) -> bool:
+        return repeat_is_harmless(kind, self.scope)
 
     def news(self, name: str) -> list[tuple[str, Any]]:
         out, self.at[name].events = self.at[name].events, []
         return [(what, more) for what, _, more in out]
 
     def ask(self, name: str, kind: Kind, id_: str = "v", left: float = 1_500.0) -> list[tuple[str, Any]]:
-        self.at[name].claim_for_client(self.now, 9, id_, kind, BODY[kind], left)
+        harmless = self.repeat_harmless(kind)
+        self.at[name].claim_for_client(self.now, 9, id_, kind, BODY[kind], left, harmless)
         self.run()
         return self.news(name)
 
@@ -373,6 +378,46 @@
     assert net.ask("m3", READ, "nor this") == [("bounce", None)]
 
 
+TOLD_IF_UNKNOWN = [
+    (READ, DedupScope.ALL, "bounce"),
+    (PAY, DedupScope.ALL, "bounce"),
+    (PAY, DedupScope.ZONE, "unknown"),
+    (PAY, DedupScope.CELL, "unknown"),
+    (CHANGE, DedupScope.ALL, "unknown"),
+]
+
+
+@pytest.mark.parametrize(("kind", "scope", "told"), TOLD_IF_UNKNOWN)
+def test_of_an_unknown_outcome_only_one_whose_repeat_is_harmless_is_refused(kind, scope, told):
+    # guards against: a tagged request that has run in one zone, refused with 503 and sent again to another
+    net = Net(scope=scope)
+    assert net.ask("m4", kind, "never seen") == [(told, None)]
+    # known to an owner and two acceptors that are gone
+    net.take("m0", kind)
+    assert send_allowed(net, "m0", kind)
+    lost = ["m0", *net.acceptors()[:2]]
+    for name in lost:
+        net.kill(name, noticed=False)
+    asked = next(name for name in net.at)
+    answers = net.ask(asked, kind)
+    net.run(1_500.0)
+    assert answers + net.news(asked) == [(told, None)]
+    # still waited for by another client
+    net.at[asked].admit(net.now, 1, "w", kind, BODY[kind], 2_000.0, net.repeat_harmless(kind))
+    assert net.ask(asked, kind, "w") == [(told, None)]
+
+
+@pytest.mark.parametrize(("kind", "scope", "told"), TOLD_IF_UNKNOWN[1:])
+def test_an_answer_that_does_not_come_in_time_is_an_unknown_outcome(kind, scope, told):
+    # guards against: 503 for a tagged request of one zone whose fetch is still in progress at its owner
+    net = Net(scope=scope)
+    net.take("m0", kind)
+    assert send_allowed(net, "m0", kind)
+    assert net.ask("m4", kind) == []
+    net.run(2_000.0)
+    assert net.news("m4") == [(told, None)]
+
+
 def test_two_that_are_asked_at_once_end_with_one_that_has_it():
     net = Net()
     net.take("m0", CHANGE)
@@ -380,7 +425,7 @@
     net.run()
     net.kill("m0", noticed=False)
     for name in ("m4", "m5"):
-        net.at[name].claim_for_client(net.now, 9, "v", CHANGE, BODY[CHANGE], 1_500.0)
+        net.at[name].claim_for_client(net.now, 9, "v", CHANGE, BODY[CHANGE], 1_500.0, False)
     net.run()
     won = [n for n in ("m4", "m5") if ("take", []) in net.news(n)]
     for name in won:
--- a/tests/test_waits.py
+++ b/tests/test_waits.py
@@ -40,7 +40,7 @@
     kind = CHANGE
     if what == "claim":
         net.lost = lambda a, b, m: isinstance(m, TakeoverMessage)
-        net.at["m4"].claim_for_client(net.now, 1, "v", kind, b"mchange", left)
+        net.at["m4"].claim_for_client(net.now, 1, "v", kind, b"mchange", left, False)
         owner = "m4"
     else:
         owner = "m0"
