--- a/ospreyline/rig/clients.py
+++ b/ospreyline/rig/clients.py
@@ -182,11 +182,11 @@
         self.worker.clock.after(READY_PROBE_INTERVAL_MS, self._probe_starting)
         if self._reports_live:
             self.worker.clock.after(LIVE_INTERVAL_MS, self._report_live)
-        self.worker.say("standing")
+        self.worker.notify("standing")
 
     def _report_live(self) -> None:
         self.worker.clock.after(LIVE_INTERVAL_MS, self._report_live)
-        self.worker.say("live", zones=[dict(counts) for counts in self._counts])
+        self.worker.notify("live", zones=[dict(counts) for counts in self._counts])
         for counts in self._counts:
             counts.clear()
 
@@ -215,7 +215,7 @@
             self._pickers.clear()
             self.worker.clock.tick()
             self.worker.row("ready", b=number)
-            self.worker.say("ready", b=number)
+            self.worker.notify("ready", b=number)
 
     def _remove_balancer(self, number: int) -> None:
         self._routable[number] = False
@@ -436,9 +436,9 @@
             tries=request.tries,
         )
         if self._stop_at and self.worker.clock.now >= self._stop_at and not self.unfinished:
-            self.worker.say("finished")
+            self.worker.notify("finished")
 
-    async def told(self, order: dict[str, Any]) -> None:
+    async def execute(self, order: dict[str, Any]) -> None:
         do = order["do"]
         if do == "starting":
             self._starting.update(order["balancers"])
@@ -459,7 +459,7 @@
         elif do == "finish":
             self.worker.clock.tick()
             if not self.unfinished:
-                self.worker.say("finished")
+                self.worker.notify("finished")
 
     async def end(self) -> None:
         self.worker.row("left over", wants=self.unfinished)
--- a/ospreyline/rig/keeper.py
+++ b/ospreyline/rig/keeper.py
@@ -36,7 +36,7 @@
     async def begin(self) -> None:
         self.worker.clock.after(20.0, self._reap)
         self.worker.clock.after(STARVED_CHECK_MS, self._report_starved)
-        self.worker.say("keeping")
+        self.worker.notify("keeping")
 
     def _report_starved(self) -> None:
         """Write a row for each process that waited long for a core, by /proc/PID/schedstat."""
@@ -59,10 +59,10 @@
             if status is not None:
                 del self._procs[name]
                 self.worker.row("ended", name=name, status=status, wanted=name in self._expected_exits)
-                self.worker.say("gone", name=name, status=status, wanted=name in self._expected_exits)
+                self.worker.notify("gone", name=name, status=status, wanted=name in self._expected_exits)
                 self._expected_exits.discard(name)
 
-    async def told(self, order: dict[str, Any]) -> None:
+    async def execute(self, order: dict[str, Any]) -> None:
         do = order["do"]
         if do == "start":
             for spec in order["processes"]:
@@ -79,7 +79,7 @@
                 self._run_delay_ms.pop(spec["name"], None)
                 self.worker.row("spawned", name=spec["name"], pid=self._procs[spec["name"]].pid)
             pids = {spec["name"]: self._procs[spec["name"]].pid for spec in order["processes"]}
-            self.worker.say("spawned", pids=pids)
+            self.worker.notify("spawned", pids=pids)
         else:
             for name in order["names"]:
                 proc = self._procs.get(name)
@@ -92,7 +92,7 @@
                     with suppress(ProcessLookupError):
                         proc.send_signal(SIGNALS[do])
                 self.worker.row("signal", name=name, what=do)
-        self.worker.say("done", order=order["order"])
+        self.worker.notify("done", order=order["order"])
 
     async def end(self) -> None:
         for proc in self._procs.values():
--- a/ospreyline/rig/ready.py
+++ b/ospreyline/rig/ready.py
@@ -121,7 +121,7 @@
     entries = [{"uid": f"s{i}", "machine": i, "az": "", "state": "active", "boot_ms": 0} for i in range(3)]
     endpoints = {str(entry["machine"]): f"127.0.0.1:{9 + i}" for i, entry in enumerate(entries)}
     service = Process("list-0", lambda part, news: None)
-    waiting = asyncio.ensure_future(service.said("listening", seconds))
+    waiting = asyncio.ensure_future(service.wait_for_message("listening", seconds))
     await asyncio.sleep(0)  # so that it is registered before the process sends anything
     try:
         await service.start(
--- a/ospreyline/rig/registry.py
+++ b/ospreyline/rig/registry.py
@@ -178,7 +178,7 @@
     async def begin(self) -> None:
         await self._listen()
         self.worker.clock.after(KEEPALIVE_INTERVAL_MS, self._send_keepalives)
-        self.worker.say("listening", at=self._at)
+        self.worker.notify("listening", at=self._at)
 
     async def _listen(self) -> None:
         self._server = await self.worker.loop.create_server(
@@ -319,7 +319,7 @@
                 call.version = self.upstream_list.version
                 self._write_line(call, self._list_line(call, False, entries))
 
-    async def told(self, order: dict[str, Any]) -> None:
+    async def execute(self, order: dict[str, Any]) -> None:
         if order["do"] == "change":
             for change in order["entries"]:
                 self.upstream_list.change(**change)
@@ -350,7 +350,7 @@
                 self._touch_entries(uids)
             elif kind in ("registry-full", "registry-hang", "registry-half", "registry-back") and active > 0:
                 self._abort_calls()
-        self.worker.say("done", order=order["order"])
+        self.worker.notify("done", order=order["order"])
 
     def _touch_entries(self, uids: list[str]) -> None:
         for uid in uids:
--- a/ospreyline/rig/relays.py
+++ b/ospreyline/rig/relays.py
@@ -507,13 +507,13 @@
             await link.update_listener()
         for shared_listener in self.hubs.values():
             await shared_listener.update_listener()
-        self.worker.say(
+        self.worker.notify(
             "linked",
             at={name: link.at for name, link in self.links.items() if not link.shared_listener},
             hubs={name: shared_listener.at for name, shared_listener in self.hubs.items()},
         )
 
-    async def told(self, order: dict[str, Any]) -> None:
+    async def execute(self, order: dict[str, Any]) -> None:
         do = order["do"]
         if do == "targets":
             for name, at in order["at"].items():
@@ -523,11 +523,11 @@
                 link = self.links[name]
                 link.target = tuple(at) if at else None
                 await link.update_listener()
-            self.worker.say("done", order=order["order"])
+            self.worker.notify("done", order=order["order"])
         elif do == "fault":
             for name in order["links"]:
                 await self.links[name].apply_fault(order, self._draw)
-            self.worker.say("done", order=order["order"])
+            self.worker.notify("done", order=order["order"])
         elif do == "watch":
             self.watches.append(msgspec.convert(order["watch"], Watch))
         elif do == "go":
@@ -548,7 +548,7 @@
                     self._paused_links[watch.number] = link
                     for direction in (TO_SERVER, TO_CLIENT):
                         link.hold_counts[direction] += 1
-                    self.worker.say("seen", number=watch.number, link=link.name, at=self.worker.clock.now)
+                    self.worker.notify("seen", number=watch.number, link=link.name, at=self.worker.clock.now)
                     return
 
     async def end(self) -> None:
--- a/ospreyline/rig/run.py
+++ b/ospreyline/rig/run.py
@@ -72,7 +72,7 @@
         assert self._proc is not None and self._proc.stdout is not None
         while line := await self._proc.stdout.readline():
             message = msgspec.json.decode(line)
-            what = message["news"]
+            what = message["event"]
             if what == "done":
                 wait = self._pending_commands.pop(message["order"], None)
                 if wait is not None and not wait.done():
@@ -93,7 +93,7 @@
                 future.set_exception(RigError(f"rig worker {self.name} has exited, see its log"))
                 future.exception()
 
-    async def said(self, what: str, seconds: float) -> dict[str, Any]:
+    async def wait_for_message(self, what: str, seconds: float) -> dict[str, Any]:
         """Wait for the first message of a kind; `RigError` after `seconds`."""
         self._awaited_messages[what] = asyncio.get_running_loop().create_future()
         try:
@@ -366,7 +366,7 @@
     # messages of the workers
 
     def _on_message(self, worker: Process, message: dict[str, Any]) -> None:
-        what = message["news"]
+        what = message["event"]
         if what == "seen":
             fault = self.injector.faults[message["number"]]
             self.injector.spawn(self._on_watch_triggered(worker, message, fault))
@@ -491,7 +491,7 @@
         """Start one worker and wait for its first message, of the kind `first_message`."""
         worker = Process(f"{name}-{index}", self._on_message)
         self._workers.append(worker)
-        waiting = asyncio.ensure_future(worker.said(first_message, self.scenario.rig.ready_s))
+        waiting = asyncio.ensure_future(worker.wait_for_message(first_message, self.scenario.rig.ready_s))
         await asyncio.sleep(0)  # the future is registered before the process can send
         await worker.start(
             kind, {**self._worker_setup(name, index), **setup}, self.out / "logs" / f"rig-{name}-{index}.log"
--- a/ospreyline/rig/upstreams.py
+++ b/ospreyline/rig/upstreams.py
@@ -157,7 +157,7 @@
         """Overloaded while cold: the process ends."""
         self.owner.worker.row("fell", u=self.index)
         self.kill_process()
-        self.owner.worker.say("fell", u=self.index)
+        self.owner.worker.notify("fell", u=self.index)
 
     def connection_opened(self, connection: Connection) -> None:
         self.clock.tick()
@@ -266,12 +266,12 @@
             group = upstream.server.group
             if group.pause_every_ms:
                 upstream.server.pauses(group.pause_every_ms, group.pause_ms, upstream.draw)
-        self.worker.say("listening", at={str(i): u.address for i, u in self.upstreams.items()})
+        self.worker.notify("listening", at={str(i): u.address for i, u in self.upstreams.items()})
 
-    async def told(self, order: dict[str, Any]) -> None:
+    async def execute(self, order: dict[str, Any]) -> None:
         for index in order["of"]:
             await self._apply_order(self.upstreams[index], order)
-        self.worker.say("done", order=order["order"])
+        self.worker.notify("done", order=order["order"])
 
     async def _apply_order(self, upstream: Upstream, order: dict[str, Any]) -> None:
         server, do, size, on = upstream.server, order["do"], order.get("size", 0.0), order.get("on", 1)
@@ -315,7 +315,7 @@
     def row(self, kind: str, /, **values: Any) -> None:
         pass
 
-    def say(self, news: str, **values: Any) -> None:
+    def notify(self, event: str, **values: Any) -> None:
         pass
 
 
--- a/ospreyline/rig/worker.py
+++ b/ospreyline/rig/worker.py
@@ -30,7 +30,7 @@
     """What a worker runs: the object that `make(worker, setup)` of a module of this package returns."""
 
     async def begin(self) -> None: ...
-    async def told(self, order: dict[str, Any]) -> None: ...
+    async def execute(self, order: dict[str, Any]) -> None: ...
     async def end(self) -> None: ...
 
 
@@ -79,9 +79,9 @@
         """Write a row for the referee."""
         self._rows.write(_JSON.encode({"k": kind, "t": round(self.clock.now, 3), **values}) + b"\n")
 
-    def say(self, news: str, **values: Any) -> None:
+    def notify(self, event: str, **values: Any) -> None:
         """Send a message to the rig."""
-        line = _JSON.encode({"news": news, **values}) + b"\n"
+        line = _JSON.encode({"event": event, **values}) + b"\n"
         while line:
             line = line[os.write(1, line) :]
 
@@ -129,11 +129,11 @@
             worker.clock.tick()
             if order["do"] == "end":
                 break
-            await part.told(order)
+            await part.execute(order)
     finally:
         await part.end()
         worker.close()
-    worker.say("ended", lag=round(worker.lag, 1))
+    worker.notify("ended", lag=round(worker.lag, 1))
 
 
 def main() -> None:
