Read scenario files of the laboratory and the rig at one place

Cause: shipped scenarios, reading by path or name and its errors stood twice. Change: lab/words.py has both, beside the suggestion for a wrong name that both use. Measured: lab show and rig run print the same for a shipped name, two wrong ones, a missing file and a folder on the text before and after; test_lab passed.

--- a/ospreyline/lab/scenario.py
+++ b/ospreyline/lab/scenario.py
@@ -10,8 +10,6 @@
 import tomllib
 from collections.abc import Iterator, Mapping
 from difflib import get_close_matches
-from importlib import resources
-from pathlib import Path
 from typing import Any, Literal
 
 import msgspec
@@ -239,24 +237,12 @@
 
 def shipped() -> dict[str, str]:
     """The scenarios that come with the simulator: TOML text by name."""
-    folder = resources.files("ospreyline.lab") / "scenarios"
-    return {
-        entry.name.removesuffix(".toml"): entry.read_text("utf-8")
-        for entry in sorted(folder.iterdir(), key=lambda e: e.name)
-        if entry.name.endswith(".toml")
-    }
+    return words.shipped_scenarios("ospreyline.lab")
 
 
 def load(name: str) -> Scenario:
     """Reads a scenario by the path of its file or by the name of a shipped one."""
-    path = Path(name)
-    try:
-        text = path.read_text("utf-8") if path.suffix == ".toml" or path.exists() else shipped().get(name)
-    except (OSError, UnicodeDecodeError) as error:
-        raise ScenarioError(f"{name}: {getattr(error, 'strerror', None) or error}") from error
-    if text is None:
-        near = get_close_matches(name, shipped(), 1)
-        raise ScenarioError(f"{name}: no such file or shipped scenario" + (f", {near[0]!r}?" if near else ""))
+    text = words.read_scenario(name, shipped())
     try:
         return parse(text)
     except ScenarioError as error:
--- a/ospreyline/lab/words.py
+++ b/ospreyline/lab/words.py
@@ -9,6 +9,8 @@
 import re
 from collections.abc import Iterable, Iterator, Mapping, Sequence
 from difflib import get_close_matches
+from importlib import resources
+from pathlib import Path
 from typing import Any
 
 import msgspec
@@ -139,6 +141,31 @@
     return f", {near[0]!r}?" if near else ""
 
 
+def shipped_scenarios(package: str) -> dict[str, str]:
+    """The scenarios that come with a package, in its folder `scenarios`: TOML text by name."""
+    folder = resources.files(package) / "scenarios"
+    return {
+        entry.name.removesuffix(".toml"): entry.read_text("utf-8")
+        for entry in sorted(folder.iterdir(), key=lambda e: e.name)
+        if entry.name.endswith(".toml")
+    }
+
+
+def read_scenario(name: str, shipped: Mapping[str, str]) -> str:
+    """The TOML text of a scenario, by the path of its file or by its name in `shipped`.
+
+    Raises `ScenarioError` if there is neither, or the file cannot be read.
+    """
+    path = Path(name)
+    try:
+        text = path.read_text("utf-8") if path.suffix == ".toml" or path.exists() else shipped.get(name)
+    except (OSError, UnicodeDecodeError) as error:
+        raise ScenarioError(f"{name}: {getattr(error, 'strerror', None) or error}") from error
+    if text is None:
+        raise ScenarioError(f"{name}: no such file or shipped scenario{nearest(name, shipped)}")
+    return text
+
+
 def problems(
     faults: Sequence[Fault], kinds: Mapping[str, str], zones: Sequence[str], prefixes: Sequence[str]
 ) -> Iterator[tuple[str, str]]:
--- a/ospreyline/rig/scenario.py
+++ b/ospreyline/rig/scenario.py
@@ -9,7 +9,6 @@
 import tomllib
 from collections.abc import Iterator, Mapping
 from fnmatch import fnmatchcase
-from importlib import resources
 from pathlib import Path
 from typing import Any, Literal
 
@@ -181,29 +180,12 @@
 
 def shipped_scenarios() -> dict[str, str]:
     """The scenarios shipped with the rig: TOML text by name."""
-    folder = resources.files("ospreyline.rig") / "scenarios"
-    return {
-        entry.name.removesuffix(".toml"): entry.read_text("utf-8")
-        for entry in sorted(folder.iterdir(), key=lambda e: e.name)
-        if entry.name.endswith(".toml")
-    }
+    return words.shipped_scenarios("ospreyline.rig")
 
 
 def load(name: str) -> Scenario:
     """Load a scenario by the path of its file or the name of a shipped one."""
-    path = Path(name)
-    try:
-        text = (
-            path.read_text("utf-8")
-            if path.suffix == ".toml" or path.exists()
-            else shipped_scenarios().get(name)
-        )
-    except (OSError, UnicodeDecodeError) as error:
-        raise ScenarioError(f"{name}: {getattr(error, 'strerror', None) or error}") from error
-    if text is None:
-        raise ScenarioError(
-            f"{name}: no such file or shipped scenario{words.nearest(name, shipped_scenarios())}"
-        )
+    text = words.read_scenario(name, shipped_scenarios())
     try:
         return build(_resolve_like(tomllib.loads(text)))
     except tomllib.TOMLDecodeError as error:
