Acceptor: build all replies at one place

Cause: accepting and rejecting built the same six fields of a reply three times. Change: Acceptor._reply; the messages are the same.

--- a/ospreyline/fleet/acceptor.py
+++ b/ospreyline/fleet/acceptor.py
@@ -32,6 +32,7 @@
 from dataclasses import dataclass, field
 from hashlib import blake2b
 from math import inf
+from typing import Any
 
 from ospreyline.fleet.frames import NO_BALLOT, Ballot, Grant, TakeoverMessage
 
@@ -269,15 +270,10 @@
 
     def _accept(self, now: float, message: TakeoverMessage, record: TakeoverRecord) -> TakeoverMessage:
         if message.kind != "claim":
-            return TakeoverMessage(
+            return self._reply(
                 "yes",
-                message.visit_id,
-                message.ballot,
-                message.session,
-                message.sender,
-                self.name,
+                message,
                 promised=record.promised,
-                about=message.kind,
                 acceptors=record.acceptors,
                 number=message.number,
             )
@@ -287,19 +283,14 @@
                 for (ballot, number), (zone, cell, at) in record.grants.items()
             )
         )
-        return TakeoverMessage(
+        return self._reply(
             "yes",
-            message.visit_id,
-            message.ballot,
-            message.session,
-            message.sender,
-            self.name,
-            record.answer if record.answered else record.body,
-            grants,
-            record.promised,
-            message.kind,
-            record.acceptors,
-            record.answered,
+            message,
+            body=record.answer if record.answered else record.body,
+            grants=grants,
+            promised=record.promised,
+            acceptors=record.acceptors,
+            answered=record.answered,
             time_left_ms=max(0.0, record.client_deadline - now),
             grant_holder_linked=record.grant_holder() in self.sessions,
             closed=record.closed,
@@ -308,16 +299,19 @@
     def _reject(self, message: TakeoverMessage, record: TakeoverRecord | None) -> TakeoverMessage:
         self.rejections += 1
         promised = record.promised if record is not None else (0, "")
+        return self._reply("no", message, promised=promised, number=message.number)
+
+    def _reply(self, kind: str, message: TakeoverMessage, **fields: Any) -> TakeoverMessage:
+        """A reply to the sender of `message`, under its ballot and session."""
         return TakeoverMessage(
-            "no",
+            kind,
             message.visit_id,
             message.ballot,
             message.session,
             message.sender,
             self.name,
-            promised=promised,
             about=message.kind,
-            number=message.number,
+            **fields,
         )
 
 
