Tests: wait until a stopped process does not run any more

Cause, as far as shown: SIGSTOP is not in force when kill returns.

Change: stop_process (stand_ins.py) waits for the state T; used where tests stop a process. What they assert is unchanged.

--- a/ospreyline/fleet/takeover.py
+++ b/ospreyline/fleet/takeover.py
@@ -550,8 +550,8 @@
         if proposer.may_have_run and visit.kind is Kind.MUTATING:
             return self._finish("unknown", visit)
         visit.waiting_for, visit.wait_until = "", inf
-        # Ages and the time left are as of the replies, the first of which may have come right after the claim.
-        # Upstreams forget a key, and clients stop waiting, by the clock, also while we wait.
+        # Ages and the time left are as of the replies, the first of which may have come right after the
+        # claim. Upstreams forget a key, and clients stop waiting, by the clock, also while we wait.
         waited = now - visit.claimed_at
         prior_fetches: list[PriorFetch] = [
             (zone, cell, age + waited) for _, _, zone, cell, age in sorted(proposer.grants.values())
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -4,12 +4,15 @@
 
 import asyncio
 import json
+import os
+import signal
 import socket
 import struct
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from dataclasses import replace
 from itertools import count
+from pathlib import Path
 from typing import Any
 
 from ospreyline import config
@@ -366,3 +369,13 @@
 
 async def caller(service: Service) -> Caller:
     return Caller(*await asyncio.open_connection(*service.at))
+
+
+def stop_process(pid: int) -> None:
+    """Stop a process (SIGSTOP), and wait until it does not run any more.
+
+    On a busy machine it may run on for some hundred milliseconds after the signal was sent.
+    """
+    os.kill(pid, signal.SIGSTOP)
+    while Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()[0] != "T":
+        os.sched_yield()
--- a/tests/test_gone.py
+++ b/tests/test_gone.py
@@ -34,6 +34,7 @@
     ok,
     request,
     running,
+    stop_process,
     target,
 )
 from test_clients import KEY, play
@@ -591,7 +592,7 @@
             socks = [socket.create_connection(("127.0.0.1", port)) for _ in range(12)]
             if kept:
                 await asyncio.sleep(0.05)
-            os.kill(pid, signal.SIGSTOP)
+            stop_process(pid)
             for i, sock in enumerate(socks):
                 sock.sendall(asked(("/read", "/tag", "/change")[i % 3]))
             for i, sock in enumerate(socks):
@@ -623,7 +624,7 @@
                 sock.sendall(asked("/change"))
                 while not connecting(at[1]):
                     await asyncio.sleep(0.005)
-                os.kill(pid, signal.SIGSTOP)
+                stop_process(pid)
                 leave(sock, how)
                 await asyncio.sleep(0.15)
                 full.append(server.accept()[0])  # from here on its connection can be established
--- a/tests/test_list_read_late.py
+++ b/tests/test_list_read_late.py
@@ -13,7 +13,7 @@
 import time
 
 import pytest
-from stand_ins import Peer, Registry, running, target
+from stand_ins import Peer, Registry, running, stop_process, target
 from test_list_answers import HEAD, Call, Load, Scenario, chunk, play
 
 CLIENTS = 4
@@ -31,7 +31,7 @@
     async def stop_while_written(self, news: bytes, stopped: float) -> float:
         """Stops the process for `stopped` s, during which the list service writes; returns when it wrote."""
         pid = self.running[0].process
-        pid.send_signal(signal.SIGSTOP)
+        stop_process(pid.pid)
         await asyncio.sleep(0.02)
         self.services[0].calls[-1].write(news)
         written = time.monotonic()
