Takeover: a tagged visit that is given up keeps its fetches for who takes it over

Cause: giving a tagged visit up recorded "never ran", which closes the ballot; a closed ballot hides its grants. The same before a 503 for scope all. Where a client had left nothing was recorded, and the next balancer waited for an answer that would not come.

Change: a message "give up" says that nothing more is sent under a ballot and that what was sent may have run. Grants stay recorded, claimants that wait are notified, nobody adopts the visit. It is sent too by a superseded owner whose fetch failed. Why it works: a claim reads the grants of a quorum, and no ballot under which something was sent is closed any more.

--- a/ospreyline/fleet/acceptor.py
+++ b/ospreyline/fleet/acceptor.py
@@ -15,8 +15,10 @@
 owner does not get it (the fetch never ran). No clock is needed: a process that is stopped between the check
 and the write had its grant recorded before. A balancer that tells a client that its visit never ran has that
 recorded first: this closes its ballot, nothing more is sent under it, and nobody takes the visit over; it
-runs only if the client asks again, under a higher ballot. An upstream's answer is a fact, not a decision: it
-is recorded under any ballot.
+runs only if the client asks again, under a higher ballot. A balancer that ends a visit whose fetches may have
+run gives it up instead: nothing more is sent under its ballot, and its grants stay recorded for claimants. An
+upstream's answer is a fact, not a decision: it is recorded under any ballot, and so is that a visit was given
+up.
 
 An acceptor loses records when it expires or evicts them and when it restarts, so an old message must not be
 accepted by an acceptor that no longer has the record. Each message therefore names the session in which the
@@ -71,6 +73,7 @@
     answer: bytes = b""
     answered: bool = False
     closed: Ballot = NO_BALLOT
+    given_up: Ballot = NO_BALLOT  # its balancer sends nothing more under it; what it sent may have run
     grants: dict[tuple[Ballot, int], tuple[str, int, float]] = field(default_factory=dict)
     session: int = 0  # of the link on which it was registered or last claimed
     expires_at: float = 0.0
@@ -79,12 +82,13 @@
     def grant_holder(self) -> str:
         """The balancer that may have a fetch of the visit in progress; empty: none."""
         last = max(self.grants)[0] if self.grants else NO_BALLOT
-        return last[1] if last > self.closed else ""
+        return last[1] if last > max(self.closed, self.given_up) else ""
 
     @property
     def finished(self) -> bool:
         """Whether the record may be evicted: the visit ended, or was only claimed and never registered."""
-        return self.answered or self.closed >= self.promised or not self.acceptors
+        over = max(self.closed, self.given_up) >= self.promised
+        return self.answered or over or not self.acceptors
 
 
 class Acceptor:
@@ -139,6 +143,11 @@
             return self._reject(message, record)
         if message.kind == "answer" and message.body != NEVER_RAN:
             return self._record_answer(now, message, record)
+        if message.kind == "give up":
+            # a fact about its sender, like an answer, whoever has the visit by now
+            record.given_up = max(record.given_up, message.ballot)
+            self._notify_claimant(now, message.visit_id, record, message.sender)
+            return self._accept(now, message, record)
         if message.ballot < record.promised:
             return self._reject(message, record)
         record.promised = message.ballot
@@ -465,6 +474,12 @@
         """Store the visit's answer at the acceptors for clients that ask again."""
         self._broadcast("answer", body)
 
+    def give_up(self) -> None:
+        """Report that nothing more is sent under our ballot; what was sent may have run, so its grants
+        stay."""
+        self._refusing, self.granted = True, False
+        self._broadcast("give up")
+
     def receive(self, message: TakeoverMessage) -> None:
         """Process an acceptor's reply; duplicated, late and foreign replies are ignored."""
         if message.sender not in self.acceptors or message.ballot != self.ballot:
--- a/ospreyline/fleet/takeover.py
+++ b/ospreyline/fleet/takeover.py
@@ -372,9 +372,16 @@
     def refuse(self, now: float, tag: int) -> bool:
         """Whether a bounce may be sent at once; else `refused`, `unknown` or `lost` follows. A bounce tells
         the client that the visit never ran, or that a repeat is harmless."""
+        if tag in self._superseded:
+            self._give_up(now, self._superseded.pop(tag))
+            return True
         visit = self._registered_visit(tag)
         if visit is None:
             return True
+        if visit.kind is Kind.TAGGED and visit.repeat_harmless and visit.proposer.ever_granted:
+            # it may be refused though it has run; a claimant must know its fetches, as their keys expire
+            self._give_up(now, visit)
+            return True
         visit.proposer.refuse()
         if visit.kind is not Kind.MUTATING or visit.proposer.ever_granted:
             # a repeat is harmless, or our recorded grants keep all others from running it
@@ -385,14 +392,27 @@
         return False
 
     def abandon(self, now: float, tag: int, sent: bool = False) -> None:
-        """The client has left, or was told that there is no answer. Fetches that were `sent` stay recorded,
-        so that a client that asks again stays within the allowed number of fetches."""
+        """The client has left, or was told that there is no answer; no fetch is in progress.
+
+        Fetches that were `sent` stay recorded, so that a client that asks again stays within the allowed
+        number of fetches.
+        """
         visit = self.visits.get(tag)
-        if visit is not None:
+        if tag in self._superseded:
+            self._give_up(now, self._superseded.pop(tag))
+        elif visit is not None and visit.kind is Kind.TAGGED and visit.proposer.ever_granted:
+            self._give_up(now, visit)
+        elif visit is not None:
             if visit.registered and not sent:
                 visit.proposer.refuse()
             self._flush(now, visit, last=True)
 
+    def _give_up(self, now: float, visit: OwnedVisit) -> None:
+        """End a visit whose granted fetches may have run, and notify whoever waits for their answer."""
+        if visit.proposer.ever_granted:
+            visit.proposer.give_up()
+        self._flush(now, visit, last=True)
+
     def fail(self, now: float, tag: int) -> None:
         """The client was told that there is no answer."""
         visit = self.visits.get(tag)
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -219,6 +219,61 @@
     assert what == "adopt" and left <= 2_000.0 - net.now
 
 
+def fails(net: Net) -> None:
+    net.at["m0"].fail(net.now, 1)
+
+
+def is_refused(net: Net) -> None:
+    assert net.at["m0"].refuse(net.now, 1)
+
+
+def is_left(net: Net) -> None:
+    net.at["m0"].abandon(net.now, 1, sent=True)
+
+
+@pytest.mark.parametrize("scope", [DedupScope.ALL, DedupScope.ZONE])
+@pytest.mark.parametrize("end", [fails, is_refused, is_left])
+@pytest.mark.parametrize("waits", [True, False])
+def test_who_takes_over_a_tagged_visit_that_was_given_up_knows_its_fetch(waits, end, scope):
+    # Guards against a tagged request that is sent again outside its scope and after its window, as its former
+    # balancer had told that it never ran; and against a client that waits for an answer that will not come.
+    net = Net(scope=scope)
+    net.take("m0", PAY)
+    assert send_allowed(net, "m0", PAY)
+    if waits:
+        assert net.ask("m4", PAY) == []
+    net.run(300.0)
+    if end is is_refused and scope is DedupScope.ZONE:
+        end = fails  # by the decisions only one that never ran is refused there
+    end(net)
+    net.run()
+    answers = net.news("m4") if waits else net.ask("m4", PAY)
+    ((what, ((zone, _, age),)),) = answers
+    assert (what, zone) == ("take", "a") and age >= 300.0
+
+
+@pytest.mark.parametrize(("kind", "told"), [(PAY, "take"), (CHANGE, "unknown")])
+def test_a_superseded_owner_whose_fetch_fails_keeps_nobody_waiting(kind, told):
+    # Guards against a client that waits until its deadline for an answer that will not come.
+    net = Net()
+    asked = superseded_owner(net, kind)
+    net.at["m0"].fail(net.now, 1)
+    net.run()
+    assert [what for what, _ in net.news(asked)] == [told]
+    assert not net.at["m0"]._superseded
+
+
+def test_a_visit_that_was_given_up_is_adopted_by_nobody():
+    net = Net(scope=DedupScope.ZONE)
+    net.take("m0", PAY)
+    assert send_allowed(net, "m0", PAY)
+    net.at["m0"].fail(net.now, 1)
+    net.run()
+    net.kill("m0")
+    net.run(2_000.0)
+    assert all(net.news(name) == [] for name in net.at)
+
+
 def test_an_owner_that_was_stopped_gets_no_permit_once_another_has_it():
     net = Net()
     net.take("m0", CHANGE)
