Explore balancers that give a visit up; giving up ends ownership

With it in, it found that a proposer that gives up and then records an answer would count that as a recorded refusal (trace of 12 steps); no caller does so.

Change: `gives_up` in check/guards.py; a proposer that gives up owns the visit no more, in place of refusing it. Two rows more in test_guards.py, and the planted mistake of before.

--- a/ospreyline/check/guards.py
+++ b/ospreyline/check/guards.py
@@ -41,6 +41,7 @@
     refusers: list[str] = field(default_factory=list)
     grants_requested: dict[str, int] = field(default_factory=dict)
     answer_recorders: list[str] = field(default_factory=list)  # recorded the answer to their fetch
+    given_up: list[str] = field(default_factory=list)  # reported that they send nothing more
     doublings_left: int = 0
     restarts_left: int = 0
     forgets_left: int = 0
@@ -71,14 +72,17 @@
         at_once: bool = False,
         answers: bool = False,
         anew: bool = False,
+        gives_up: bool = False,
     ) -> None:
         """`covered`: start when all acceptors store the visit, else when its owner accepts it.
         `at_once`: the owner's first message requests a grant; `answers`: a writer may record an answer.
-        `anew`: takeovers are on behalf of the client, which retries; they may run a refused visit."""
+        `anew`: takeovers are on behalf of the client, which retries; they may run a refused visit.
+        `gives_up`: whoever may have written may give the visit up without an answer."""
         self.takers = [f"s{i}" for i in range(takers)]
         self.bounds = (doublings, restarts, forgets)
         self.may_refuse = may_refuse
         self.covered, self.at_once, self.answers, self.for_client = covered, at_once, answers, anew
+        self.gives_up = gives_up
 
     def begin(self) -> State:
         acceptors = [Acceptor(name, 1e9, 1) for name in ACCEPTORS]
@@ -151,6 +155,9 @@
                 out.append(("write", name))
             if self.answers and name in state.writers and name not in state.answer_recorders:
                 out.append(("answer", name))
+            may_give_up = self.gives_up and (proposer.granted or name in state.writers)
+            if may_give_up and name not in state.given_up:
+                out.append(("give up", name))
             if proposer.refusal_recorded and name not in state.refusers:
                 out.append(("tell", name))
         for name in self.takers:
@@ -239,6 +246,9 @@
         elif kind == "answer":
             state.answer_recorders.append(target)
             proposer.record_answer(b"answer")
+        elif kind == "give up":
+            state.given_up.append(target)
+            proposer.give_up()
         elif kind == "tell":
             state.refusers.append(target)
         self._send_pending(state, target)
@@ -314,6 +324,7 @@
                 stored.answer,
                 stored.answered,
                 stored.closed,
+                stored.given_up,
                 tuple(sorted(stored.grants)),
             )
             serials = tuple(sorted(acceptor._serials.items()))
@@ -386,6 +397,7 @@
                 tuple(state.refusers),
                 tuple(sorted(state.grants_requested.items())),
                 tuple(state.answer_recorders),
+                tuple(state.given_up),
                 state.doublings_left,
                 state.restarts_left,
                 state.forgets_left,
--- a/ospreyline/fleet/acceptor.py
+++ b/ospreyline/fleet/acceptor.py
@@ -477,7 +477,7 @@
     def give_up(self) -> None:
         """Report that nothing more is sent under our ballot; what was sent may have run, so its grants
         stay."""
-        self._refusing, self.granted = True, False
+        self.owned = self.granted = False
         self._broadcast("give up")
 
     def receive(self, message: TakeoverMessage) -> None:
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -17,7 +17,9 @@
         ({"covered": True, "may_refuse": False}, 100_000),
         ({"covered": True, "restarts": 1, "may_refuse": False}, 100_000),
         ({"covered": True, "doublings": 1, "may_refuse": False}, 100_000),
+        ({"covered": True, "gives_up": True, "may_refuse": False}, 100_000),
         ({"takers": 2, "may_refuse": False}, 4_000),
+        ({"covered": True, "takers": 2, "gives_up": True, "answers": True}, 4_000),
         ({"doublings": 1}, 4_000),
         ({"forgets": 1}, 4_000),
         ({"at_once": True, "answers": True, "takers": 2, "may_refuse": False}, 4_000),
@@ -25,7 +27,7 @@
     ],
 )
 def test_the_sentences_hold(bounds, most):
-    # the first three are explored completely, the others as far as CI has time: `ospreyline explore guards`
+    # the first four are explored completely, the others as far as CI has time: `ospreyline explore guards`
     found = Explorer(**bounds).explore(most)
     assert not found.violation, "\n".join(found.trace)
     assert found.complete is (most == 100_000)
@@ -110,6 +112,10 @@
     patch.setattr(Explorer, "steps", more)
 
 
+def given_up_as_if_it_never_ran(patch):
+    patch.setattr(Proposer, "give_up", Proposer.refuse)
+
+
 @pytest.mark.parametrize(
     ("mistake", "bounds"),
     [
@@ -120,6 +126,7 @@
         (may_have_run_ignored, {"may_refuse": False}),
         (refused_before_it_is_recorded, {"covered": True}),
         (sent_after_its_refusal, {"covered": True, "takers": 0}),
+        (given_up_as_if_it_never_ran, {"covered": True, "gives_up": True, "may_refuse": False}),
         (forgetful_counts_as_knowing, {"covered": True, "restarts": 1, "may_refuse": False}),
     ],
     ids=lambda value: value.__name__ if callable(value) else "",
