Tests: follow the renamed methods of rig workers, and keep rejected connections for the check

Change: the stand-in and calls have the new names. The memory test keeps connections lingering for a minute, so that the count does not race with their end; what it asserts is unchanged.

--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -17,7 +17,7 @@
 
 from ospreyline.fleet import frames, links
 from ospreyline.fleet.frames import ALIVE, Entry
-from ospreyline.net import reading
+from ospreyline.net import clients, reading
 from ospreyline.net.upstreams import unread
 
 MEMORY_MB = 48
@@ -90,8 +90,10 @@
     play(scenario)
 
 
-def test_a_rejected_request_is_not_kept_while_its_connection_lingers():
+def test_a_rejected_request_is_not_kept_while_its_connection_lingers(monkeypatch):
     # guards against: heads that were answered with an error, kept until their connections were closed
+    monkeypatch.setattr(clients, "LINGER_S", 60.0)
+
     async def scenario():
         async with running(Peer(), sockets=1024, memory_mb=MEMORY_MB) as service:
             tracemalloc.start()
--- a/tests/test_rig_losses.py
+++ b/tests/test_rig_losses.py
@@ -31,8 +31,8 @@
     def row(self, kind: str, /, **values: Any) -> None:
         self.rows.append({"k": kind, "t": self.clock.now, **values})
 
-    def say(self, news: str, **values: Any) -> None:
-        self.messages[news] = values
+    def notify(self, event: str, **values: Any) -> None:
+        self.messages[event] = values
 
 
 async def start_service(worker: FakeWorker) -> Service:
@@ -56,7 +56,7 @@
 async def inject_loss(
     service: Service, end: str, size: int, extra: float = 0.0, silent: bool = False
 ) -> None:
-    await service.told(
+    await service.execute(
         {
             "do": "fault",
             "kind": f"registry-lost-{end}",
@@ -70,7 +70,7 @@
 
 
 async def drain_upstream(service: Service) -> None:
-    await service.told({"do": "change", "entries": [{"uid": "s-0-1", "state": "leaving"}], "order": 2})
+    await service.execute({"do": "change", "entries": [{"uid": "s-0-1", "state": "leaving"}], "order": 2})
 
 
 async def read_to_end(reader: asyncio.StreamReader, silence: bool = False) -> tuple[bytes, str]:
@@ -144,7 +144,7 @@
         await inject_loss(service, "fin", 0, extra=0.3)
         await drain_upstream(service)
         assert await read_to_end(reader) == (b"", "fin")
-        await service.told(
+        await service.execute(
             {
                 "do": "fault",
                 "kind": "registry-lost-fin",
@@ -182,11 +182,11 @@
             },
         )
         await relays.begin()
-        await relays.told(
+        await relays.execute(
             {"do": "targets", "at": {"b0>list": worker.messages["listening"]["at"]}, "order": 1}
         )
         if in_order:
-            await relays.told(
+            await relays.execute(
                 {
                     "do": "fault",
                     "kind": "fin-for-reset",
