--- a/review/common-2/bench2.py
+++ b/review/common-2/bench2.py
@@ -11,6 +11,7 @@
 import os
 import signal
 import socket
+import struct
 import subprocess
 import sys
 import tempfile
@@ -283,6 +284,30 @@
             self._fillers.append(filler)
 
 
+async def resetting_proxy(to: int, after_s: float) -> int:
+    """The port of a proxy for one connection to a balancer, which it resets on both sides after `after_s`."""
+
+    async def copy(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with suppress(ConnectionError):
+            while data := await reader.read(65_536):
+                writer.write(data)
+
+    async def connection(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        far = await asyncio.open_connection("127.0.0.1", to)
+        copies = [asyncio.create_task(copy(reader, far[1])), asyncio.create_task(copy(far[0], writer))]
+        await asyncio.sleep(after_s)
+        for each in (writer, far[1]):
+            each.get_extra_info("socket").setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+            )
+            each.transport.abort()
+        await asyncio.gather(*copies)
+        server.close()
+
+    server = await asyncio.start_server(connection, "127.0.0.1", 0)
+    return int(server.sockets[0].getsockname()[1])
+
+
 # clients
 
 
