Review: balancers of the cases are started without the script's PYTHONPATH

Cause: the stand-ins handed their own PYTHONPATH to the balancers, which the deploy file does not set.

--- a/review/common-2/bench2.py
+++ b/review/common-2/bench2.py
@@ -382,7 +382,7 @@
         self.write_config({**self.config, "seed": f"{crc32(self.name.encode()):x}{self._seed:04x}"})
         run = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["run"]
         env = {**os.environ, "PROXY_CONFIG": str(self.file), "TMPDIR": str(self.folder)}
-        for name in ("PROXY_NAME", "PROXY_LISTEN", "PROXY_DISCOVERY", "OSPREYLINE_OPERATOR"):
+        for name in ("PROXY_NAME", "PROXY_LISTEN", "PROXY_DISCOVERY", "OSPREYLINE_OPERATOR", "PYTHONPATH"):
             env.pop(name, None)
         if self.operator:
             (self.folder / f"{self.name}.toml").write_text(self.operator)
