--- a/ospreyline/net/clients.py
+++ b/ospreyline/net/clients.py
@@ -14,7 +14,7 @@
 from collections import Counter, deque
 from dataclasses import dataclass
 from http import HTTPStatus
-from math import isfinite
+from math import inf, isfinite
 from typing import Any, Protocol, cast
 
 import httptools
@@ -23,7 +23,7 @@
 from ospreyline.net.memory import PeerBudgets
 from ospreyline.net.reading import ReadScheduler
 from ospreyline.net.retry_proof import SECRET, SECRET_FIELD, make_proof
-from ospreyline.net.sockets import discard_unread, shutdown_now, unacknowledged
+from ospreyline.net.sockets import PeerState, discard_unread, peer_state, shutdown_now, unacknowledged
 from ospreyline.net.upstreams import HOP_BY_HOP, MAX_BODY_BYTES, MAX_HEAD_BYTES, MAX_RAW_BYTES, unread
 
 IDLE_TIMEOUT_S = 75.0  # a connection may be idle between requests for this long
@@ -134,6 +134,8 @@
         self._unhandled: deque[Request | BadRequest] = deque()
         self.has_requested = False  # has sent at least one whole request
         self._trailing_bytes = 0  # received after its last answer
+        # loop time (s) at which bytes came while its request waited for the answer
+        self._extra_bytes_at = -inf
         self._keep_alive = True
         self._reading = False
         self._finished = False
@@ -186,6 +188,8 @@
         self.data_received(self.clients.reads.received(nbytes, self.transport))
 
     def data_received(self, data: memoryview) -> None:
+        if self.current_request is not None:
+            self._extra_bytes_at = self.clients.loop.time()
         if self._finished or not self._keep_alive:
             # data after the last request that is answered on this connection
             self._trailing_bytes += len(data)
@@ -483,11 +487,17 @@
         """Whether its socket may contain unread request data."""
         return not self._finished and self.transport is not None and unread(self.transport, select.POLLIN)
 
-    def has_left(self) -> bool:
-        """Whether the client has disconnected, even if the event loop has not read that yet."""
+    def state(self) -> PeerState:
+        """Whether the client is still there, even if the event loop has not read that yet."""
         # Timers and event batches run before sockets are read. After a long batch or a stall, a request would
         # otherwise be forwarded although its client left long ago.
-        return self.transport is None or unread(self.transport, select.POLLRDHUP)
+        if self.transport is None:
+            return PeerState.LEFT
+        state = peer_state(self.transport)
+        if state is PeerState.OPEN and self.clients.loop.time() < self._extra_bytes_at + QUIET_BEFORE_CLOSE_S:
+            # what its machine could not send yet, and its end behind that, comes only now that we read on
+            return PeerState.UNREAD
+        return state
 
     def ms_since_received(self) -> float:
         """Milliseconds since its last bytes reached this machine, as far as the OS reports it; else 0."""
--- a/ospreyline/net/dispatcher.py
+++ b/ospreyline/net/dispatcher.py
@@ -32,6 +32,7 @@
 from ospreyline.net.listing import ListUpdate, Target, parse_update
 from ospreyline.net.memory import PeerBudgets
 from ospreyline.net.reading import ReadScheduler
+from ospreyline.net.sockets import PeerState
 from ospreyline.net.upstreams import (
     Answer,
     ConnectionPools,
@@ -105,9 +106,12 @@
         self.last_timed_out = False  # whether its latest fetch timed out
         self.backstop_timer: asyncio.TimerHandle | None = None
 
-    def client_waits(self) -> bool:
+    def client_state(self) -> PeerState:
         """Whether a client still waits for it; checked before a byte of it is sent to an upstream."""
-        return not (self.answered or self.client_left or (self.client is not None and self.client.has_left()))
+        if self.answered or self.client_left:
+            return PeerState.LEFT
+        # one that was taken over has no client here
+        return self.client.state() if self.client is not None else PeerState.OPEN
 
 
 class EventDispatcher:
@@ -717,7 +721,7 @@
             time_out,
             request.method == b"HEAD",
             lambda outcome: self.enqueue(self.ended, pending, number, outcome),
-            pending.client_waits,
+            pending.client_state,
         )
         if pending.decision is not None:
             exchange.start_before = pending.decision.repeat_deadline
--- a/ospreyline/net/sockets.py
+++ b/ospreyline/net/sockets.py
@@ -10,10 +10,31 @@
 import termios
 from collections.abc import Iterator
 from contextlib import contextmanager, suppress
+from enum import Enum
 
 MAX_DISCARDED_BYTES = 1 << 20  # read at most before a close
 
 
+class PeerState(Enum):
+    """What is known of whoever is at the other end of a connection."""
+
+    OPEN = "it is there, and all that it sent has been read"
+    UNREAD = "it has sent more than has been read, and its end may stand behind that"
+    LEFT = "it has ended the connection"
+
+
+def peer_state(transport: asyncio.BaseTransport) -> PeerState:
+    """State of the peer, even if the event loop has not read it yet."""
+    if transport.is_closing():
+        return PeerState.LEFT
+    poller = select.poll()
+    poller.register(transport.get_extra_info("socket").fileno(), select.POLLIN | select.POLLRDHUP)
+    events = next((found for _, found in poller.poll(0)), 0)
+    if events & ~select.POLLIN:
+        return PeerState.LEFT
+    return PeerState.UNREAD if events else PeerState.OPEN
+
+
 @contextmanager
 def _raw_socket(transport: asyncio.BaseTransport) -> Iterator[socket.socket]:
     """The plain socket; the one that a transport returns cannot be read or shut down."""
--- a/ospreyline/net/upstreams.py
+++ b/ospreyline/net/upstreams.py
@@ -22,7 +22,7 @@
 from ospreyline.net.events import EventLog
 from ospreyline.net.memory import MemoryBudget
 from ospreyline.net.reading import ReadScheduler
-from ospreyline.net.sockets import failed, shutdown_now
+from ospreyline.net.sockets import PeerState, failed, shutdown_now
 
 MAX_BODY_BYTES = 65_536
 MAX_HEAD_BYTES = 32_768
@@ -32,6 +32,7 @@
 SETTLE_MS = 25.0  # after an answer, extra data or the connection's end shows within this time
 # an exchange is started only with this much time left; the remaining time is sent in whole ms
 MIN_TIME_LEFT_MS = 1.0
+READ_CHECK_INTERVAL_S = 0.002  # between two looks whether all that a client has sent is read
 IDLE_TIME_SHARE = 0.8  # idle connections are closed after this share of the upstream's own idle timeout
 MAX_UTIL, MAX_REPORT_VALUE = 4.0, 1e5  # bounds of a load report's values
 HOP_BY_HOP = frozenset(
@@ -134,8 +135,8 @@
     return bool(poller.poll(0))
 
 
-def _always() -> bool:
-    return True
+def _nobody_leaves() -> PeerState:
+    return PeerState.OPEN
 
 
 def _never() -> bool:
@@ -147,7 +148,7 @@
 
     __slots__ = (
         "body",
-        "client_waits",
+        "client_state",
         "conn",
         "connect_task",
         "deadline",
@@ -169,7 +170,7 @@
         time_out: float,
         head_only: bool,
         on_end: Callable[[Answer | ExchangeFailure], None],
-        client_waits: Callable[[], bool] = _always,
+        client_state: Callable[[], PeerState] = _nobody_leaves,
     ) -> None:
         self.head = head  # without the final blank line
         self.body = body
@@ -178,7 +179,7 @@
         self.start_before = inf  # must not start at its upstream at or after this time
         self.head_only = head_only
         self.on_end: Callable[[Answer | ExchangeFailure], None] | None = on_end
-        self.client_waits = client_waits  # whether a client still waits for it
+        self.client_state = client_state  # whether a client still waits for it
         self.stage = ExchangeStage.CONNECTING
         self.pool: ConnectionPool | None = None
         self.conn: UpstreamConnection | None = None
@@ -191,7 +192,7 @@
         if on_end is None:
             return
         # breaks a reference cycle between visit and exchange, so that no garbage collection is needed
-        self.client_waits = _always
+        self.client_state = _nobody_leaves
         if self.timeout_timer is not None:
             self.timeout_timer.cancel()
         if self.pool is not None:
@@ -443,7 +444,29 @@
         )
         if self.withdrawn or exchange.deadline - now < MIN_TIME_LEFT_MS:
             exchange.fail(FailureReason.WITHDRAWN)
-            return
+        elif exchange.client_state() is PeerState.UNREAD:
+            exchange.connect_task = self.pools.loop.create_task(self._run_once_read(exchange))
+        else:
+            self._run_now(exchange)
+
+    async def _run_once_read(self, exchange: Exchange) -> None:
+        """Run an exchange once all that its client has sent is read."""
+        await self._read_client(exchange)
+        exchange.connect_task = None
+        if exchange.on_end is not None:
+            self._run_now(exchange)
+
+    async def _read_client(self, exchange: Exchange) -> None:
+        """Wait until all that the client has sent is read, as its end may stand behind that.
+
+        The bytes behind a request are bounded (`MAX_LINGER_BYTES`), and so is this wait.
+        """
+        while exchange.on_end is not None and exchange.client_state() is PeerState.UNREAD:
+            await asyncio.sleep(READ_CHECK_INTERVAL_S)
+
+    def _run_now(self, exchange: Exchange) -> None:
+        """Write an exchange on an idle connection, or open one for it."""
+        now = self.pools.clock()
         for conn in reversed(self.idle):
             if now - conn.last_used < SETTLE_MS:
                 continue  # a second answer behind the last one would be taken for this exchange's
@@ -480,7 +503,7 @@
         if (
             now < exchange.start_before
             and exchange.deadline - now >= MIN_TIME_LEFT_MS
-            and exchange.client_waits()
+            and exchange.client_state() is not PeerState.LEFT
             and not self.pools.sends_blocked()
         ):
             return True
@@ -504,6 +527,7 @@
             exchange.connect_task = None
             exchange.fail(FailureReason.BROKEN)
         else:
+            await self._read_client(exchange)
             exchange.connect_task = None
             # the upstream may have died right after accepting; once written, the request might have executed
             if conn.transport is None or unread(conn.transport, select.POLLIN):
--- a/tests/test_left.py
+++ b/tests/test_left.py
@@ -10,14 +10,16 @@
 import asyncio
 import socket
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 
 import pytest
 from stand_ins import RESET, SILENT, Caller, Peer, caller, request, running, target
 from test_clients import KEY, play
 
 from ospreyline.net import upstreams
+from ospreyline.net.clients import ClientConnection
 from ospreyline.net.dispatcher import clock
+from ospreyline.net.sockets import PeerState
 
 CANCEL = pytest.mark.parametrize("cancel", [True, False])
 KINDS = pytest.mark.parametrize("path", ["/read", "/tag", "/change"])
@@ -211,6 +213,51 @@
     play(scenario)
 
 
+async def flood(sock: socket.socket, connection: ClientConnection) -> None:
+    """Sends until neither side's buffer takes more, while the process reads nothing of it."""
+    connection.transport.pause_reading()
+    sock.setblocking(False)
+    with suppress(BlockingIOError):
+        while True:
+            sock.send(b"x" * 65_536)
+
+
+@CANCEL
+@KINDS
+@pytest.mark.parametrize("leaves", [True, False])
+def test_one_whose_end_stands_behind_unread_bytes_is_not_sent(path, cancel, leaves, monkeypatch):
+    # guards against an attempt that begins long after its client closed: as long as the receive window is
+    # full, the client's machine keeps the FIN back, and only reading on tells
+    async def scenario():
+        async with gated(monkeypatch, cancel) as (service, gate):
+            sock = socket.create_connection(service.at)
+            sock.sendall(asked(path))
+            await asyncio.wait_for(gate.connecting.wait(), 5)
+            connection = next(iter(service.clients.open))
+            if leaves:
+                await flood(sock, connection)
+                sock.close()
+            else:
+                connection.transport.pause_reading()
+                sock.sendall(b"more than its request")
+            assert connection.state() is PeerState.UNREAD
+            gate.open.set()
+            await passes()
+            assert not gate.got
+            connection.transport.resume_reading()
+            if leaves:
+                while service.dispatcher.visits:
+                    await asyncio.sleep(0)
+                await passes()
+                assert not gate.got
+            else:
+                while not gate.got:
+                    await asyncio.sleep(0.001)
+                sock.close()
+
+    play(scenario)
+
+
 @CANCEL
 def test_one_that_left_while_its_bytes_were_in_our_buffer_is_withdrawn(cancel, monkeypatch):
     async def scenario():
