--- a/ospreyline/net/dispatcher.py
+++ b/ospreyline/net/dispatcher.py
@@ -41,9 +41,11 @@
     ExchangeStage,
     FailureReason,
     classify_end,
+    may_have_run,
     parse_load_report,
 )
 from ospreyline.state import Visit
+from ospreyline.used_ids import UsedIds
 
 if TYPE_CHECKING:
     from ospreyline.fleet.bank import Bank
@@ -83,6 +85,7 @@
         "exchanges",
         "fetch_ends",
         "last_timed_out",
+        "may_have_run",
         "prefix_settings",
         "request",
         "tag",
@@ -102,10 +105,18 @@
         # when its last byte reached this machine (`clock()` ms), as far as the OS reports it
         self.arrived_at = 0.0
         self.answered = False
+        self.may_have_run = False  # at an upstream, by a fetch that has ended
         self.client_left = False  # the client has disconnected; no new fetch starts
         self.last_timed_out = False  # whether its latest fetch timed out
         self.backstop_timer: asyncio.TimerHandle | None = None
 
+    def has_effect(self) -> bool:
+        """Whether it may have run at an upstream, or may run there yet."""
+        return self.may_have_run or any(
+            exchange is not None and exchange.on_end is not None and exchange.stage > ExchangeStage.WRITING
+            for exchange in self.exchanges
+        )
+
     def client_state(self) -> PeerState:
         """Whether a client still waits for it; checked before a byte of it is sent to an upstream."""
         if self.answered or self.client_left:
@@ -132,6 +143,7 @@
         # number of open visits by request id; more than one only if a client asks for an outcome under an id
         # that another client uses, too
         self._open_ids: Counter[bytes] = Counter()
+        self._used_ids = UsedIds()  # of visits that are over and must not run again
         self.counts: Counter[str] = Counter()
         self.events = EventLog(self.logger, clock, self.counts)
         self.latencies_ms: list[float] = []  # of the visits delivered since the last "counts" log line
@@ -277,6 +289,7 @@
         self.tagged = frozenset(
             i for i, terms in enumerate(config.deployment.prefixes) if terms.kind is Kind.TAGGED
         )
+        self._used_ids.configure(max(terms.client_timeout for terms in config.deployment.prefixes))
         self._zone_index = {name: i for i, name in enumerate(config.zone_names)}
         self._report_fields = config.deployment.report_fields
 
@@ -465,6 +478,8 @@
             # one that has a secret is not kept from its outcome by whoever has used its id here
             if not (request.asks_for_outcome and request.proof):
                 return False
+        if self._has_run_before(request):
+            return False
         self._open_ids[request.request_id] += 1
         self._last_tag += 1
         prefix_settings = self._config.deployment.prefixes[request.prefix_index]
@@ -474,6 +489,13 @@
         self.enqueue(self._begin_visit, pending)
         return True
 
+    def _has_run_before(self, request: Request) -> bool:
+        """Whether a request must not run under its id again, as a former one may have run under it."""
+        if self.takeover_adapter is not None and request.asks_for_outcome:
+            return False  # its acceptors know what became of it
+        kind = self._config.deployment.prefixes[request.prefix_index].kind
+        return kind is not Kind.READ_LIKE and self._used_ids.contains(clock(), request.request_id)
+
     def _release_request(self, request: Request) -> None:
         """Release the memory that a request was charged when it was received."""
         self.budgets.requests.charge(-request.held_bytes)
@@ -633,6 +655,7 @@
             if end is End.TIMED_OUT and now <= self.stood_to and exchange.sent <= self._stalled_from:
                 reported = End.CANCELLED  # stalled: its answer may be unread in the socket
         pending.last_timed_out = end is End.TIMED_OUT
+        pending.may_have_run = pending.may_have_run or may_have_run(outcome)
         report: tuple[float, ...] = ()
         if isinstance(outcome, Answer):
             report = parse_load_report(outcome.report, self._report_fields) if outcome.report else ()
@@ -674,6 +697,8 @@
 
     def _discard_visit(self, pending: PendingVisit) -> None:
         if self.visits.pop(pending.tag, None) is not None:
+            if pending.prefix_settings.kind is not Kind.READ_LIKE and pending.has_effect():
+                self._used_ids.add(clock(), pending.request.request_id)
             self._open_ids[pending.request.request_id] -= 1
             if not self._open_ids[pending.request.request_id]:
                 del self._open_ids[pending.request.request_id]
--- a/ospreyline/net/upstreams.py
+++ b/ospreyline/net/upstreams.py
@@ -105,6 +105,13 @@
     return End.TIMED_OUT if outcome.reason is FailureReason.TIMED_OUT else End.RESET
 
 
+def may_have_run(outcome: Answer | ExchangeFailure) -> bool:
+    """Whether the upstream may have run a request whose exchange ended so."""
+    if isinstance(outcome, Answer):
+        return classify_end(outcome) is not End.FULL
+    return outcome.stage > ExchangeStage.WRITING
+
+
 def parse_load_report(text: bytes, fields: tuple[str, ...]) -> tuple[float, ...]:
     """Values of a load report in the configured order; () if one is missing or invalid."""
     fields_text = text.decode("latin-1").strip()
