--- a/ospreyline/net/dispatcher.py
+++ b/ospreyline/net/dispatcher.py
@@ -25,6 +25,7 @@
 from ospreyline.decide import Balancer
 from ospreyline.host import End, Kind, ListedUpstream, PathPrefix, Readiness
 from ospreyline.lease import LeaseMessage, UpdateRead
+from ospreyline.net.addresses import AddressBook
 from ospreyline.net.clients import ClientConnection, Request
 from ospreyline.net.discovery import CallFailure, ListClient
 from ospreyline.net.events import EventLog
@@ -168,6 +169,7 @@
         self._unix_offset = time.time() * 1e3 - clock()
         self._index_by_uid: dict[str, int] = {}
         self._readiness: dict[str, Readiness] = {}
+        self._addresses = AddressBook()
         self._gone_since: dict[str, float] = {}  # when each upstream was removed from the list, oldest first
         self._uid_by_index: dict[int, str] = {}
         self._place_by_index: dict[int, tuple[str, int]] = {}  # zone and cell of each upstream
@@ -902,6 +904,7 @@
 
     def _list_entries(self, update: ListUpdate) -> list[ListedUpstream]:
         """Convert a list update to entries for the decisions, and update the connection pools from it."""
+        superseded = self._enter_addresses(update)
         entries = []
         for target, at in update.entries:
             upstream = self._index_by_uid.get(target.uid)
@@ -910,14 +913,9 @@
                     continue
                 upstream = self._index_by_uid[target.uid] = self.upstreams.add(at)
                 self._uid_by_index[upstream] = target.uid
-            entries.append(self._list_entry(target, upstream))
-            self._record_readiness(target.uid, entries[-1].readiness, target)
-            self.upstreams.update_from_list(
-                upstream,
-                at or self.upstreams.pools[upstream].address,
-                target.boot_ms,
-                entries[-1].readiness is Readiness.READY,
-            )
+            entries.append(self._apply_entry(target, at, upstream))
+        for uid in superseded:
+            entries.append(self._apply_entry(self._target_by_uid[uid], None, self._index_by_uid[uid]))
         if update.is_full:
             named = {target.uid for target, _ in update.entries}
             for uid, upstream in self._index_by_uid.items():
@@ -925,8 +923,32 @@
                     self._record_readiness(uid, Readiness.GONE, None)
                     self._target_by_uid[uid] = structs.replace(self._target_by_uid[uid], state="left")
                     self.upstreams.pools[upstream].withdraw()
+                    self._addresses.remove(uid)
         return entries
 
+    def _enter_addresses(self, update: ListUpdate) -> list[str]:
+        """Record the addresses of an update; the known upstreams that others have superseded there.
+
+        Otherwise the entry of a process that has gone would lead to the one that started at its address.
+        """
+        superseded: dict[str, None] = {}
+        for target, at in update.entries:
+            if target.state == "left":
+                self._addresses.remove(target.uid)
+            elif at is not None:
+                superseded |= dict.fromkeys(self._addresses.enter(target.uid, at, target.boot_ms))
+        named = {target.uid for target, _ in update.entries}
+        return [uid for uid in superseded if uid in self._index_by_uid and uid not in named]
+
+    def _apply_entry(self, target: Target, at: tuple[str, int] | None, upstream: int) -> ListedUpstream:
+        """Apply an entry of the list to the upstream's pool, and convert it for the decisions."""
+        entry = self._list_entry(target, upstream)
+        self._record_readiness(target.uid, entry.readiness, target)
+        address = at or self.upstreams.pools[upstream].address
+        is_ready = entry.readiness is Readiness.READY
+        self.upstreams.update_from_list(upstream, address, target.boot_ms, is_ready)
+        return entry
+
     def _list_entry(self, target: Target, upstream: int) -> ListedUpstream:
         # An entry may omit its zone and cell (a removed one does); the upstream keeps its former ones, as
         # repeats of fetches that may have executed there depend on them. An unseen upstream is assigned to
@@ -939,13 +961,16 @@
         self._target_by_uid[target.uid] = structs.replace(target, az=az, pod_group=cell)
         self._place_by_index[upstream] = (az, cell)
         zone = self._zone_index.get(az, (self._config.deployment.zone - 1) % self._config.deployment.zones)
+        # an unknown state: no new requests
+        readiness = _READINESS_BY_STATE.get(target.state, Readiness.DRAINING)
+        if self._addresses.is_superseded(target.uid):
+            readiness = Readiness.GONE
         return ListedUpstream(
             upstream=upstream,
             hash_key=int.from_bytes(blake2b(target.uid.encode(), digest_size=8).digest(), "big"),
             zone=zone,
             cell=cell,
-            # an unknown state: no new requests
-            readiness=_READINESS_BY_STATE.get(target.state, Readiness.DRAINING),
+            readiness=readiness,
             started_at=target.boot_ms - self._unix_offset if target.boot_ms > 0 else 0.0,
         )
 
@@ -984,6 +1009,7 @@
             self.balancer.remove_upstream(upstream)
             del self._gone_since[uid], self._index_by_uid[uid]
             del self._readiness[uid], self._target_by_uid[uid]
+            self._addresses.remove(uid)
             del self.upstreams.pools[upstream], self._place_by_index[upstream], self._uid_by_index[upstream]
 
     # -- Host: actions for the decisions ------------------------------------------------------------------
