--- a/ospreyline/net/clients.py
+++ b/ospreyline/net/clients.py
@@ -593,41 +593,49 @@
 
         False if some may still be waiting.
         """
-        sock, accepted = self._socket, False
-        while sock is not None:
-            here = len(self.open) + self._accepting + len(self.evicted)
-            if here >= self.max_open:
-                # An evicted connection's descriptor is free only in the next loop iteration, when this is
-                # called again. Evicting and accepting in the same one let a burst exceed the limit.
-                if (
-                    not accepted
-                    and not self._evict_idle(QUIET_BEFORE_CLOSE_S)
-                    and not self._evict_idle(SILENT_EVICTION_AGE_S)
-                ):
-                    self._pause_accepting(sock)
-                return False
-            try:
-                conn, _ = sock.accept()
-            except BlockingIOError:
-                return True
-            except (InterruptedError, ConnectionAbortedError):
-                continue  # an aborted connection must not block those queued behind it
-            except OSError:
-                self._pause_accepting(sock)
-                return False
-            conn.setblocking(False)
-            accepted = True
-            self.handler.counts["accepted"] += 1
-            task = self.loop.create_task(self._accept_connection(conn))
-            self._accepting += 1
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+        accepted_over_half = 0
+        try:
+            while self._socket is not None:
+                here = len(self.open) + self._accepting + len(self.evicted)
+                if here >= self.max_open:
+                    if not accepted_over_half:
+                        self._make_room(self._socket)
+                    return False
+                try:
+                    conn, _ = self._socket.accept()
+                except BlockingIOError:
+                    return True
+                except (InterruptedError, ConnectionAbortedError):
+                    continue  # an aborted connection must not block those queued behind it
+                except OSError:
+                    self._pause_accepting(self._socket)
+                    return False
+                self._start_connection(conn)
+                accepted_over_half += here >= self.max_open // 2
+            return True
+        finally:
             # Connections that are idle after one request, or silent, use up the connections that clients can
             # open at all, which locks out regular clients well before our own limit. So eviction starts at
             # half of it.
-            if here >= self.max_open // 2:
-                self._evict_idle(QUIET_BEFORE_CLOSE_S)
-        return True
+            if accepted_over_half:
+                self._evict_idle(QUIET_BEFORE_CLOSE_S, accepted_over_half)
+
+    def _make_room(self, sock: socket.socket) -> None:
+        """Evict one at the limit, or pause accepting.
+
+        Its descriptor is free only in the next loop iteration, when `accept` is called again: evicting and
+        accepting in the same one let a burst exceed the limit.
+        """
+        if not self._evict_idle(QUIET_BEFORE_CLOSE_S) and not self._evict_idle(SILENT_EVICTION_AGE_S):
+            self._pause_accepting(sock)
+
+    def _start_connection(self, conn: socket.socket) -> None:
+        conn.setblocking(False)
+        self.handler.counts["accepted"] += 1
+        task = self.loop.create_task(self._accept_connection(conn))
+        self._accepting += 1
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
 
     async def _accept_connection(self, conn: socket.socket) -> None:
         try:
@@ -636,8 +644,11 @@
             self._accepting -= 1
             conn.close()
 
-    def _evict_idle(self, min_silence: float) -> bool:
-        """Evict the least needed connection: answered for good, then silent so far, then idle longest."""
+    def _evict_idle(self, min_silence: float, most: int = 1) -> int:
+        """Evict the least needed connections: answered for good, then silent so far, then idle longest.
+
+        At most `most` of them, found in one pass over all; returns how many.
+        """
         # a connection that was accepted just now may have an unread request
         now = self.loop.time()
         evictable = [(rank, c) for c in self.open if (rank := c.eviction_rank()) >= 0]
@@ -648,15 +659,25 @@
         ]
         silent = self._accepting + sum(rank == 1 for rank, _ in evictable)
         found.sort(key=lambda entry: entry[:2])
-        # after a late loop iteration, accept may run before a request on one of them is read
-        client = next((c for _, _, c in found if not c.has_unread() and not c.has_unacknowledged()), None)
-        if client is None or (client.eviction_rank() == 0 and silent > self.max_open // 4):
-            return False  # a flood of silent connections must not evict regular clients
+        evicted = 0
+        for negative_rank, _, client in found:
+            if evicted == most:
+                break
+            # after a late loop iteration, accept may run before a request on one of them is read
+            if client.has_unread() or client.has_unacknowledged():
+                continue
+            if negative_rank == 0 and silent > self.max_open // 4:
+                break  # a flood of silent connections must not evict regular clients
+            silent -= negative_rank == -1
+            evicted += 1
+            self._evict(client)
+        return evicted
+
+    def _evict(self, client: ClientConnection) -> None:
         self.handler.counts["made_room"] += 1
         self.open.pop(client, None)
         self.evicted[client] = None
         client.close("made room for another")
-        return True
 
     # memory
 
@@ -730,8 +751,8 @@
                 client.start_lingering_close()
             else:
                 client.close("too slow, or silent")
-        while len(self.open) > self.max_open // 2 and self._evict_idle(QUIET_BEFORE_CLOSE_S):
-            pass
+        if (surplus := len(self.open) - self.max_open // 2) > 0:
+            self._evict_idle(QUIET_BEFORE_CLOSE_S, surplus)
 
     def is_busy(self) -> bool:
         """Whether any request is unanswered or being received, or any connection is being accepted."""
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -120,6 +120,32 @@
     play(story)
 
 
+def test_those_that_wait_together_cost_one_pass_over_those_that_are_open(monkeypatch):
+    # guards against usual requests that wait while hundreds of clients connect again and again: for each one
+    # that was accepted all open connections were gone through and sorted
+    async def story():
+        async with running(Peer(), sockets=512) as service:
+            half = service.dispatcher.max_clients // 2
+            idle = [await caller(service) for _ in range(half)]
+            await until(lambda: len(service.clients.open) == half)
+            for name in ("QUIET_BEFORE_CLOSE_S", "SILENT_EVICTION_AGE_S"):
+                monkeypatch.setattr(clients, name, -1.0)
+            ranked, rank = [], clients.ClientConnection.eviction_rank
+            monkeypatch.setattr(
+                clients.ClientConnection, "eviction_rank", lambda conn: ranked.append(conn) or rank(conn)
+            )
+            new = waiting(service, half // 2)
+            service.clients.accept()
+            assert len(ranked) <= 2 * half
+            assert service.dispatcher.counts["made_room"] == len(new)
+            for sock in new:
+                sock.close()
+            for client in idle:
+                client.writer.close()
+
+    play(story)
+
+
 @pytest.mark.parametrize("asked", [True, False])
 def test_who_makes_room_has_nothing_unread(asked, monkeypatch):
     # after a late pass the listener may be read before a request that waits in a connection's socket
