--- a/ospreyline/net/clients.py
+++ b/ospreyline/net/clients.py
@@ -36,6 +36,9 @@
 LINGER_S = 1.0  # after its last answer a connection is still read for this long
 # received bytes after the last answer beyond which the connection is closed at once
 MAX_LINGER_BYTES = 1 << 20
+# fields of a request, with its trailers, and chunks of its body: each is a call of the parser, however short.
+# 100 fields are the usual limit of proxies; so many chunks bring the largest body in 16 bytes each
+MAX_FIELDS, MAX_CHUNKS = 100, MAX_BODY_BYTES // 16
 # header fields that are not forwarded as received; the balancer sets its own values where needed
 REPLACED_FIELDS = HOP_BY_HOP | {b"expect", b"x-expires-in", SECRET_FIELD}
 HEALTH_PATHS = (b"/health/ready", b"/health/live")
@@ -143,7 +146,7 @@
 
     def _reset_request(self) -> None:
         self._free_buffers()
-        self._raw_bytes = self._head_bytes = 0
+        self._raw_bytes = self._head_bytes = self._field_count = self._chunk_count = 0
         self._head_done = False
         self.spared_once = False  # was overdue once, with unread bytes in its socket
 
@@ -272,6 +275,7 @@
         self._count_head(len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        self._count_field()
         if self._head_done:
             return  # trailers are not forwarded
         self._count_head(len(name) + len(value))
@@ -291,6 +295,12 @@
         if self._head_bytes > MAX_HEAD_BYTES:
             raise BadRequest(431)
 
+    def _count_field(self) -> None:
+        """Bounds the fields of head and trailers: each is a call of the parser, however short it is."""
+        self._field_count += 1
+        if self._field_count > MAX_FIELDS:
+            raise BadRequest(431)
+
     def on_headers_complete(self) -> None:
         self._head_done = True
         values = self._field_values
@@ -307,6 +317,11 @@
         ):
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
+    def on_chunk_header(self) -> None:
+        self._chunk_count += 1
+        if self._chunk_count > MAX_CHUNKS:
+            raise BadRequest(413)
+
     def on_body(self, body: bytes) -> None:
         if len(self._body) + len(body) > MAX_BODY_BYTES:
             raise BadRequest(413)
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -32,6 +32,8 @@
     "heads that stop half-way": b"A: 1\r\n" * 5_000,
     "bodies in chunks of two bytes": CHUNKED + b"2\r\nxx\r\n" * 20_000,
     "trailers without end": CHUNKED + b"1\r\nx\r\n0\r\nX-Trailer: " + b"y" * 200_000,
+    "heads of long fields that stop half-way": (b"A: " + b"x" * 300 + b"\r\n") * 95,
+    "bodies in larger chunks that stop half-way": CHUNKED + (b"20\r\n" + b"x" * 32 + b"\r\n") * 1_900,
     "bodies that stop half-way": b"Content-Length: 65000\r\n\r\n" + b"x" * 64_000,
 }
 
@@ -90,7 +92,12 @@
     play(scenario)
 
 
-def test_a_rejected_request_is_not_kept_while_its_connection_lingers(monkeypatch):
+@pytest.mark.parametrize(
+    ("fields", "status"),
+    [(b"A: 1\r\n" * 5_000, 431), ((b"A: " + b"x" * 300 + b"\r\n") * 95 + b"\0", 400)],
+    ids=["too many", "unreadable"],
+)
+def test_a_rejected_request_is_not_kept_while_its_connection_lingers(fields, status, monkeypatch):
     # guards against: heads that were answered with an error, kept until their connections were closed
     monkeypatch.setattr(clients, "LINGER_S", 60.0)
 
@@ -98,8 +105,8 @@
         async with running(Peer(), sockets=1024, memory_mb=MEMORY_MB) as service:
             tracemalloc.start()
             try:
-                bad = await flood(service, b"A: 1\r\n" * 5_000 + b"\0", CLIENTS)
-                while service.dispatcher.counts["door_400"] < CLIENTS:
+                bad = await flood(service, fields, CLIENTS)
+                while service.dispatcher.counts[f"door_{status}"] < CLIENTS:
                     await asyncio.sleep(0)
                 lingering = [client for client in service.clients.open if client._finished]
                 held = tracemalloc.get_traced_memory()[0]
@@ -245,3 +252,48 @@
         here.close()
 
     play(scenario)
+
+
+WORDY = {
+    "a head of short fields": b"a:\r\n" * 7_600,
+    "trailers of short fields": CHUNKED + b"1\r\nx\r\n0\r\n" + b"a:\r\n" * 7_600,
+    "chunks of one byte": CHUNKED + b"1\r\nx\r\n" * 7_600,
+}
+
+
+@pytest.mark.parametrize("data", WORDY.values(), ids=WORDY)
+def test_the_parts_of_a_request_are_bounded_in_number(data, monkeypatch):
+    # guards against usual requests that wait while hundreds of clients send heads of thousands of short
+    # fields: each field and chunk is a call of the parser, however few bytes it has
+    async def scenario():
+        peer, calls = Peer(ok()), []
+
+        def count_calls(name):
+            real = getattr(clients.ClientConnection, name)
+
+            def counted(conn, *parts):
+                calls.append(name)
+                real(conn, *parts)
+
+            monkeypatch.setattr(clients.ClientConnection, name, counted)
+
+        count_calls("on_header")
+        count_calls("on_body")
+        async with running(peer, memory_mb=MEMORY_MB) as service:
+            status = (await (await caller(service)).ask(HEAD % 1 + data))[0]
+            assert status in (413, 431) and not peer.requests
+            assert len(calls) <= clients.MAX_FIELDS + clients.MAX_CHUNKS + 2
+
+    play(scenario)
+
+
+@pytest.mark.parametrize("fields", [clients.MAX_FIELDS - 8, clients.MAX_FIELDS + 1])
+def test_as_many_fields_as_proxies_usually_take_are_taken(fields):
+    async def scenario():
+        peer = Peer(ok())
+        async with running(peer) as service:
+            more = {f"X-F{number}": "1" for number in range(fields)}
+            status = (await (await caller(service)).ask(request(**more)))[0]
+            assert status == (200 if fields <= clients.MAX_FIELDS else 431)
+
+    play(scenario)
