Dispatcher: the listed upstreams move into a directory of their own

net/dispatcher.py had grown to 1,100 lines; entries by id, indices, places, readiness and the forgetting of those that have gone are net/upstream_directory.py now, with public names for what tests and the dispatcher read.

--- a/ospreyline/net/dispatcher.py
+++ b/ospreyline/net/dispatcher.py
@@ -11,29 +11,28 @@
 import time
 from collections import Counter
 from collections.abc import Callable, Sequence
-from hashlib import blake2b
 from heapq import heappop, heappush
 from math import inf
 from random import Random
 from typing import TYPE_CHECKING, Any
 
 import structlog
-from msgspec import json, structs
+from msgspec import json
 
 from ospreyline.call_schedule import call_period_ms
 from ospreyline.config import ProxyConfig
 from ospreyline.decide import Balancer
-from ospreyline.host import End, Kind, ListedUpstream, PathPrefix, Readiness
+from ospreyline.host import End, Kind, PathPrefix
 from ospreyline.lease import LeaseMessage, UpdateRead
-from ospreyline.net.addresses import AddressBook
 from ospreyline.net.clients import ClientConnection, Request
 from ospreyline.net.discovery import CallFailure, ListClient
 from ospreyline.net.events import EventLog
 from ospreyline.net.lease_log import LeaseLog
-from ospreyline.net.listing import ListUpdate, Target, parse_update
+from ospreyline.net.listing import ListUpdate, parse_update
 from ospreyline.net.memory import PeerBudgets
 from ospreyline.net.reading import ReadScheduler
 from ospreyline.net.sockets import PeerState
+from ospreyline.net.upstream_directory import UpstreamDirectory
 from ospreyline.net.upstreams import (
     Answer,
     ConnectionPools,
@@ -60,12 +59,10 @@
 # time without a batch that means this process was stalled: three times the decisions' 200 ms tick
 STALL_MS = 600.0
 STALL_RECOVERY_MS = 100.0  # after a stall, time until all data that waited in sockets has been read
-REMOVE_GONE_AFTER_MS = 60_000.0  # a removed upstream is forgotten after this time
 # delay before a pushed list's watch is reopened: first and maximum
 WATCH_RETRY_MS, MAX_WATCH_RETRY_MS = 25.0, 250.0
 FLEET_DESCRIPTORS = 64  # descriptors reserved for links to other balancers, if enabled
 PROBE_TIMEOUT_FACTOR = 2.0  # a probe's timeout, as a multiple of the connect timeout
-_READINESS_BY_STATE = {"active": Readiness.READY, "leaving": Readiness.DRAINING, "left": Readiness.GONE}
 
 
 def clock() -> float:
@@ -165,16 +162,6 @@
         self._batch_scheduled = False
         self._update_queued = False  # a list update is queued and not yet passed to the decisions
         self._actions_deferred = False  # pending actions wait until the sockets have been read once more
-        # computed once, so that converted start times do not drift with the wall clock
-        self._unix_offset = time.time() * 1e3 - clock()
-        self._index_by_uid: dict[str, int] = {}
-        self._readiness: dict[str, Readiness] = {}
-        self._addresses = AddressBook()
-        self._gone_since: dict[str, float] = {}  # when each upstream was removed from the list, oldest first
-        self._uid_by_index: dict[int, str] = {}
-        self._place_by_index: dict[int, tuple[str, int]] = {}  # zone and cell of each upstream
-        # latest list entry of each upstream, with its zone and cell filled in
-        self._target_by_uid: dict[str, Target] = {}
         # Descriptor budget: 32 are reserved for the event loop, the listener and discovery; the rest is split
         # evenly between clients and upstreams.
         max_per_side = (
@@ -196,6 +183,8 @@
             self.reads,
             self.events,
         )
+        self.directory = UpstreamDirectory(self.upstreams, clock, self.logger, self.events)
+        self.directory.use_config(config)
         if operator is not None:
             self._enable_features(operator)
         kept = (
@@ -221,7 +210,7 @@
         self.balancer.lease.start(now)
         self._lease_log = LeaseLog(self.logger, self.balancer.lease)
         self.upstreams.sends_blocked = self._sends_blocked
-        self.balancer.apply_list(now, self._list_entries(known) if known else [])
+        self.balancer.apply_list(now, self.directory.apply(known) if known else [])
         if self.bank is not None and known is not None:
             self.bank.begin(known.rev, [(t.uid, t.state == "left", json.encode(t)) for t, _ in known.entries])
         if self._pace is not None:
@@ -292,7 +281,6 @@
             i for i, terms in enumerate(config.deployment.prefixes) if terms.kind is Kind.TAGGED
         )
         self._used_ids.configure(max(terms.client_timeout for terms in config.deployment.prefixes))
-        self._zone_index = {name: i for i, name in enumerate(config.zone_names)}
         self._report_fields = config.deployment.report_fields
 
     def _configure_discovery(self) -> None:
@@ -305,6 +293,7 @@
         self._dispatch()
         now = clock()
         self._use_config(config)
+        self.directory.use_config(config)
         self.upstreams.apply_config(config.connect_timeout_ms, config.upstream_keepalive_ms)
         if self._operator is not None:
             self._enable_features(self._operator)  # the number of balancers affects the pace of list calls
@@ -312,9 +301,7 @@
         self._configure_discovery()
         # Passed on as a first list, so that it renews no subscription and leaves cold and draining upstreams
         # in their state.
-        entries = [
-            self._list_entry(target, self._index_by_uid[uid]) for uid, target in self._target_by_uid.items()
-        ]
+        entries = self.directory.entries()
         self.balancer.apply_list_changes(now, entries, is_first_list=True, from_own_watch=False)
         if not config.deployment.ask_for_list and not self.discovery.has_watch and self._pace is None:
             self.discovery.watch(True)
@@ -467,7 +454,7 @@
 
     def place(self, upstream: int) -> tuple[str, int]:
         """Zone and cell of an upstream."""
-        return self._place_by_index[upstream]
+        return self.directory.place(upstream)
 
     def accept_request(self, request: Request, client: ClientConnection) -> bool:
         """Start a visit for a request, or join it to its open visit; False if its id is in use otherwise."""
@@ -512,11 +499,7 @@
 
     def ready(self) -> bool:
         """Readiness for health checks: a valid list lease and at least one upstream that is ready."""
-        return (
-            not self.closing
-            and Readiness.READY in self._readiness.values()
-            and self.balancer.lease.ready(clock())
-        )
+        return not self.closing and self.directory.any_ready() and self.balancer.lease.ready(clock())
 
     def _begin_visit(self, now: float, pending: PendingVisit) -> None:
         """Determine the time left for a visit, set its backstop timer and pass it on."""
@@ -561,7 +544,9 @@
             # A reload came while the visit waited: its path prefix now has another index or no longer exists.
             return self.answer_error(pending.tag) if prior_fetches else self.refuse(pending.tag)
         request = pending.request
-        before = [(self._zone_index.get(zone, -1), cell, now - ago) for zone, cell, ago in prior_fetches]
+        before = [
+            (self.directory.zone_index.get(zone, -1), cell, now - ago) for zone, cell, ago in prior_fetches
+        ]
         pending.exchanges = [None] * len(before)
         pending.decision = self.balancer.accept_visit(
             now, pending.tag, prefix, time_left, request.is_repeat, before
@@ -872,7 +857,7 @@
             return
         self.counts["lists_from_others"] += 1
         self.discovery.record_version(update.rev)
-        entries = self._list_entries(update)
+        entries = self.directory.apply(update)
         if update.is_full:
             self.balancer.apply_list(now, entries, from_own_watch=False)
         else:
@@ -896,94 +881,12 @@
                 update.is_full,
                 [(target.uid, target.state == "left", json.encode(target)) for target, _ in update.entries],
             )
-        entries = self._list_entries(update)
+        entries = self.directory.apply(update)
         if update.is_full:
             self.balancer.apply_list(now, entries, from_watch)
         else:
             self.balancer.apply_list_changes(now, entries, from_own_watch=from_watch)
 
-    def _list_entries(self, update: ListUpdate) -> list[ListedUpstream]:
-        """Convert a list update to entries for the decisions, and update the connection pools from it."""
-        superseded = self._enter_addresses(update)
-        entries = []
-        for target, at in update.entries:
-            upstream = self._index_by_uid.get(target.uid)
-            if upstream is None:
-                if at is None or target.state == "left":
-                    continue
-                upstream = self._index_by_uid[target.uid] = self.upstreams.add(at)
-                self._uid_by_index[upstream] = target.uid
-            entries.append(self._apply_entry(target, at, upstream))
-        for uid in superseded:
-            entries.append(self._apply_entry(self._target_by_uid[uid], None, self._index_by_uid[uid]))
-        if update.is_full:
-            named = {target.uid for target, _ in update.entries}
-            for uid, upstream in self._index_by_uid.items():
-                if uid not in named and self._readiness.get(uid) is not Readiness.GONE:
-                    self._record_readiness(uid, Readiness.GONE, None)
-                    self._target_by_uid[uid] = structs.replace(self._target_by_uid[uid], state="left")
-                    self.upstreams.pools[upstream].withdraw()
-                    self._addresses.remove(uid)
-        return entries
-
-    def _enter_addresses(self, update: ListUpdate) -> list[str]:
-        """Record the addresses of an update; the known upstreams that others have superseded there.
-
-        Otherwise the entry of a process that has gone would lead to the one that started at its address.
-        """
-        superseded: dict[str, None] = {}
-        for target, at in update.entries:
-            if target.state == "left":
-                self._addresses.remove(target.uid)
-            elif at is not None:
-                superseded |= dict.fromkeys(self._addresses.enter(target.uid, at, target.boot_ms))
-        named = {target.uid for target, _ in update.entries}
-        return [uid for uid in superseded if uid in self._index_by_uid and uid not in named]
-
-    def _apply_entry(self, target: Target, at: tuple[str, int] | None, upstream: int) -> ListedUpstream:
-        """Apply an entry of the list to the upstream's pool, and convert it for the decisions."""
-        entry = self._list_entry(target, upstream)
-        self._record_readiness(target.uid, entry.readiness, target)
-        address = at or self.upstreams.pools[upstream].address
-        is_ready = entry.readiness is Readiness.READY
-        self.upstreams.update_from_list(upstream, address, target.boot_ms, is_ready)
-        return entry
-
-    def _list_entry(self, target: Target, upstream: int) -> ListedUpstream:
-        # An entry may omit its zone and cell (a removed one does); the upstream keeps its former ones, as
-        # repeats of fetches that may have executed there depend on them. An unseen upstream is assigned to
-        # the last spillover zone.
-        previous = self._target_by_uid.get(target.uid, target)
-        if target.az and target.az not in self._zone_index:
-            self.logger.warning("unknown zone in the upstream list", uid=target.uid, zone=target.az)
-        az = target.az if target.az in self._zone_index or not previous.az else previous.az
-        cell = previous.pod_group or 0 if target.pod_group is None else target.pod_group
-        self._target_by_uid[target.uid] = structs.replace(target, az=az, pod_group=cell)
-        self._place_by_index[upstream] = (az, cell)
-        zone = self._zone_index.get(az, (self._config.deployment.zone - 1) % self._config.deployment.zones)
-        # an unknown state: no new requests
-        readiness = _READINESS_BY_STATE.get(target.state, Readiness.DRAINING)
-        if self._addresses.is_superseded(target.uid):
-            readiness = Readiness.GONE
-        return ListedUpstream(
-            upstream=upstream,
-            hash_key=int.from_bytes(blake2b(target.uid.encode(), digest_size=8).digest(), "big"),
-            zone=zone,
-            cell=cell,
-            readiness=readiness,
-            started_at=target.boot_ms - self._unix_offset if target.boot_ms > 0 else 0.0,
-        )
-
-    def _record_readiness(self, uid: str, state: Readiness, target: Target | None) -> None:
-        if self._readiness.get(uid) is not state:
-            self._readiness[uid] = state
-            self._gone_since.pop(uid, None)
-            if state is Readiness.GONE:
-                self._gone_since[uid] = clock()
-            self.events.change(
-                "upstream", uid=uid, state=state.name.lower(), boot_ms=target.boot_ms if target else None
-            )
-
     def run_maintenance(self, now: float) -> None:
         """Update the cached list; forget upstreams removed long ago, as fleets get new ids all the time."""
         self._lease_log.note_block(now)
@@ -993,24 +896,10 @@
             whole = self.discovery.list_complete and not self.balancer.lease.has_lost_update
             self._list_cache.run_maintenance(
                 self.discovery.rev if whole else 0,
-                lambda: [
-                    json.encode(target) for target in self._target_by_uid.values() if target.state != "left"
-                ],
+                lambda: [json.encode(target) for target in self.directory.listed()],
             )
-        for uid, since in list(self._gone_since.items()):
-            upstream = self._index_by_uid[uid]
-            # keep one: a balancer that knows no upstream treats the next list as its first
-            if (
-                now - since < REMOVE_GONE_AFTER_MS
-                or self.upstreams.pools[upstream].exchanges
-                or len(self._index_by_uid) == 1
-            ):
-                return
+        for upstream in self.directory.forget_gone(now):
             self.balancer.remove_upstream(upstream)
-            del self._gone_since[uid], self._index_by_uid[uid]
-            del self._readiness[uid], self._target_by_uid[uid]
-            self._addresses.remove(uid)
-            del self.upstreams.pools[upstream], self._place_by_index[upstream], self._uid_by_index[upstream]
 
     # -- Host: actions for the decisions ------------------------------------------------------------------
 
@@ -1023,7 +912,7 @@
                 id=pending.request.request_id.decode("latin-1"),
                 after=pending.fetch_ends,
                 attempt=len(pending.exchanges) + 1,
-                upstream=self._uid_by_index[upstream],
+                upstream=self.directory.uid(upstream),
             )
         pending.exchanges.append(None)
         generation = self.upstreams.pools[upstream].generation
--- a/tests/test_addresses.py
+++ b/tests/test_addresses.py
@@ -60,10 +60,10 @@
             listed = (old, beside, new) if whole else (new,)
             await registry.tell(13, *listed, whole=whole)
             dispatcher = service.dispatcher
-            while "u2" not in dispatcher._readiness:
+            while "u2" not in dispatcher.directory.readiness:
                 await asyncio.sleep(0)
-            assert dispatcher._readiness["u0"] is Readiness.GONE
-            assert dispatcher._readiness["u2"] is Readiness.READY
+            assert dispatcher.directory.readiness["u0"] is Readiness.GONE
+            assert dispatcher.directory.readiness["u2"] is Readiness.READY
             before = len(peer.requests)
             for _ in range(20):
                 assert (await client.ask(request()))[0] == 200
@@ -73,6 +73,6 @@
             await registry.tell(14, target("u0", peer.port, state="left"))
             while dispatcher.discovery.rev != 14:
                 await asyncio.sleep(0)
-            assert dispatcher._readiness["u2"] is Readiness.READY
+            assert dispatcher.directory.readiness["u2"] is Readiness.READY
 
     play(scenario)
--- a/tests/test_calls_we_end.py
+++ b/tests/test_calls_we_end.py
@@ -169,7 +169,7 @@
             await settled(registry, service, 1)
             await place(setup)
             async with asyncio.timeout(2):
-                while service.dispatcher._readiness["u0"] is Readiness.READY:
+                while service.dispatcher.directory.readiness["u0"] is Readiness.READY:
                     await asyncio.sleep(0.005)
 
     play(scenario)
@@ -221,12 +221,12 @@
             moved(service, elsewhere)
             await elsewhere.until(lambda: bool(elsewhere.writers))
             await registry.tell(41, target("u0", peers[0].port, state="leaving"))
-            while service.dispatcher._readiness["u0"] is Readiness.READY:
+            while service.dispatcher.directory.readiness["u0"] is Readiness.READY:
                 await asyncio.sleep(0)
             await elsewhere.tell(7, *(target(f"u{i}", p.port) for i, p in enumerate(peers)), whole=True)
             await elsewhere.until(lambda: len(elsewhere.requests) == 2)
             assert b"?watch=1" not in elsewhere.requests[1][0]  # the full list decides
-            assert service.dispatcher._readiness["u0"] is Readiness.DRAINING
+            assert service.dispatcher.directory.readiness["u0"] is Readiness.DRAINING
 
     play(scenario)
 
--- a/tests/test_cold_start.py
+++ b/tests/test_cold_start.py
@@ -189,7 +189,7 @@
         assert b"after=3" in registry.requests[0][0]
         again = Registry()
         async with running(registry=again, known=[], operator=settings) as service:
-            assert list(service.dispatcher._target_by_uid) == ["s-9"]
+            assert list(service.dispatcher.directory.target_by_uid) == ["s-9"]
             await again.until(lambda: bool(again.requests))
             assert b"watch=1&after=41" in again.requests[0][0]
             # not ready: until the service confirms the list its age is unknown
@@ -225,7 +225,7 @@
         (tmp_path / "kept").write_bytes(text)
         registry = Registry()
         async with running(registry=registry, operator=settings, known=[target("s-1", 9_001)]) as service:
-            assert list(service.dispatcher._target_by_uid) == ["s-1"]
+            assert list(service.dispatcher.directory.target_by_uid) == ["s-1"]
             await registry.until(lambda: bool(registry.requests))
             assert b"after=3" in registry.requests[0][0]
             await heard(service, registry)
@@ -238,7 +238,7 @@
     async def scenario():
         (tmp_path / "kept").write_bytes(list_cache.encode(time() * 1e3, 2, TARGETS))
         async with running(operator=settings, known=[target("s-1", 9_001)]) as service:  # version 3
-            assert list(service.dispatcher._target_by_uid) == ["s-1"]
+            assert list(service.dispatcher.directory.target_by_uid) == ["s-1"]
 
     asyncio.run(scenario())
 
--- a/tests/test_list_storm.py
+++ b/tests/test_list_storm.py
@@ -157,7 +157,8 @@
             assert max(batches) <= 2 * discovery.ITERATION_BYTES // len(lines[0])
             assert answers > 5
             assert (
-                sum(state is Readiness.DRAINING for state in service.dispatcher._readiness.values()) == 1_920
+                sum(state is Readiness.DRAINING for state in service.dispatcher.directory.readiness.values())
+                == 1_920
             )
 
     play(scenario)
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -37,8 +37,9 @@
 from ospreyline.net import dispatcher as dispatcher_module
 from ospreyline.net import list_call
 from ospreyline.net import service as service_module
-from ospreyline.net.dispatcher import REMOVE_GONE_AFTER_MS, clock
+from ospreyline.net.dispatcher import clock
 from ospreyline.net.listing import Target
+from ospreyline.net.upstream_directory import REMOVE_GONE_AFTER_MS
 
 
 def whole_list(rev: int, *targets: dict[str, Any]) -> bytes:
@@ -156,17 +157,13 @@
 def test_start_times_are_taken_to_our_clock_once():
     async def scenario():
         async with running(Peer()) as service:
-            dispatcher = service.dispatcher
+            entry = service.dispatcher.directory.list_entry
             young = Target("u0", "127.0.0.1:1", "a", 0, "active", time.time() * 1e3 - 5_000)
             old = Target("u1", "127.0.0.1:1", "a", 0, "active", 0)
-            assert dispatcher._list_entry(young, 0).started_at == pytest.approx(clock() - 5_000, abs=500)
-            assert dispatcher._list_entry(young, 0).started_at == dispatcher._list_entry(young, 0).started_at
-            assert dispatcher._list_entry(old, 1).started_at == 0.0
-            assert (
-                dispatcher._list_entry(old, 1).hash_key
-                == dispatcher._list_entry(old, 5).hash_key
-                != dispatcher._list_entry(young, 0).hash_key
-            )
+            assert entry(young, 0).started_at == pytest.approx(clock() - 5_000, abs=500)
+            assert entry(young, 0).started_at == entry(young, 0).started_at
+            assert entry(old, 1).started_at == 0.0
+            assert entry(old, 1).hash_key == entry(old, 5).hash_key != entry(young, 0).hash_key
 
     play(scenario)
 
@@ -175,11 +172,11 @@
     async def scenario():
         async with running(Peer(), Peer()) as service:
             dispatcher = service.dispatcher
-            dispatcher._list_entry(Target("u0", az="b", pod_group=4), 0)
+            dispatcher.directory.list_entry(Target("u0", az="b", pod_group=4), 0)
             for odd in (Target("u0", state="left"), Target("u0", az="nowhere")):
-                line = dispatcher._list_entry(odd, 0)
+                line = dispatcher.directory.list_entry(odd, 0)
                 assert (line.zone, line.cell) == (1, 4)
-            assert dispatcher._list_entry(Target("u0", az="a", pod_group=2), 0).zone == 0
+            assert dispatcher.directory.list_entry(Target("u0", az="a", pod_group=2), 0).zone == 0
 
     play(scenario)
 
@@ -283,20 +280,20 @@
             for n in range(20):
                 old = [target(f"s{n - 1}", peer.port, state="left")] if n else []
                 await registry.tell(n + 4, target(f"s{n}", peer.port), *old)
-                while f"s{n}" not in dispatcher._index_by_uid:
+                while f"s{n}" not in dispatcher.directory.index_by_uid:
                     await asyncio.sleep(0)
                 while (await client.ask(request()))[0] != 200:
                     pass
                 await peer.until(lambda: peer.open == 1)  # no connection is kept for the next one
                 dispatcher.run_maintenance(clock() + REMOVE_GONE_AFTER_MS + 1)
             assert (
-                len(dispatcher._index_by_uid)
-                == len(dispatcher._readiness)
-                == len(dispatcher._target_by_uid)
+                len(dispatcher.directory.index_by_uid)
+                == len(dispatcher.directory.readiness)
+                == len(dispatcher.directory.target_by_uid)
                 == len(dispatcher.upstreams.pools)
             )
             assert (
-                len(dispatcher._index_by_uid)
+                len(dispatcher.directory.index_by_uid)
                 == len(dispatcher.balancer._upstreams)
                 == len(dispatcher.balancer._ring)
                 <= 2
--- a/tests/test_switch.py
+++ b/tests/test_switch.py
@@ -197,7 +197,7 @@
         async with running(*peers, registry=registry) as service:
             await registry.tell(4, target("u0", peers[0].port, state="leaving"))
             client = await caller(service)
-            while (await client.ask(request()))[0] != 200 or service.dispatcher._readiness[
+            while (await client.ask(request()))[0] != 200 or service.dispatcher.directory.readiness[
                 "u0"
             ].name != "DRAINING":
                 pass
