--- a/ospreyline/net/upstream_directory.py
+++ b/ospreyline/net/upstream_directory.py
@@ -35,6 +35,8 @@
         self._events = events
         # computed once, so that converted start times do not drift with the wall clock
         self._unix_offset = time.time() * 1e3 - clock()
+        self.zone_index: dict[str, int] = {}
+        self._last_zone = 0  # of an unseen upstream whose zone is unknown: the last spillover zone
         self.index_by_uid: dict[str, int] = {}
         self.readiness: dict[str, Readiness] = {}
         # latest list entry of each upstream, with its zone and cell filled in
@@ -47,7 +49,6 @@
     def use_config(self, config: ProxyConfig) -> None:
         """Applies the zones of a configuration; entries are converted by them from now on."""
         self.zone_index = {name: i for i, name in enumerate(config.zone_names)}
-        # an unseen upstream without a known zone is assigned to the last spillover zone
         self._last_zone = (config.deployment.zone - 1) % config.deployment.zones
 
     def uid(self, upstream: int) -> str:
