Clients: an attempt that only waited for its client counts against no upstream

Found on rereading: an attempt waits while its client has sent more than is read. Where that lasts to its time-out it ended as not having reached its upstream, so a client whose requests end at the end of a read, with bytes trickling behind, could have upstreams ejected.

--- a/ospreyline/net/upstreams.py
+++ b/ospreyline/net/upstreams.py
@@ -167,6 +167,7 @@
         "stage",
         "start_before",
         "timeout_timer",
+        "waits_for_client",
     )
 
     def __init__(
@@ -187,6 +188,7 @@
         self.head_only = head_only
         self.on_end: Callable[[Answer | ExchangeFailure], None] | None = on_end
         self.client_state = client_state  # whether a client still waits for it
+        self.waits_for_client = False  # until all that the client has sent is read
         self.stage = ExchangeStage.CONNECTING
         self.pool: ConnectionPool | None = None
         self.conn: UpstreamConnection | None = None
@@ -469,7 +471,9 @@
         The bytes behind a request are bounded (`MAX_LINGER_BYTES`), and so is this wait.
         """
         while exchange.on_end is not None and exchange.client_state() is PeerState.UNREAD:
+            exchange.waits_for_client = True
             await asyncio.sleep(READ_CHECK_INTERVAL_S)
+        exchange.waits_for_client = False
 
     def _run_now(self, exchange: Exchange) -> None:
         """Write an exchange on an idle connection, or open one for it."""
@@ -552,6 +556,10 @@
         await self.pools.loop.create_connection(lambda: conn, *self.address)
 
     def _on_timeout(self, exchange: Exchange) -> None:
+        if exchange.waits_for_client:
+            # counted against the upstream, one client that goes on sending would have it ejected
+            exchange.fail(FailureReason.WITHDRAWN)
+            return
         if exchange.stage is ExchangeStage.WRITTEN:
             # An upstream that is cut off sends nothing. Connections without an answer since this exchange was
             # sent may be dead, too.
--- a/tests/test_left.py
+++ b/tests/test_left.py
@@ -258,6 +258,25 @@
     play(scenario)
 
 
+@KINDS
+def test_one_that_waits_for_its_client_to_its_time_counts_against_no_upstream(path, monkeypatch):
+    # guards against one client that has upstreams ejected: it goes on sending behind its requests, so that
+    # their attempts never begin
+    async def scenario():
+        peer = Peer()
+        async with running(peer) as service:
+            monkeypatch.setattr(ClientConnection, "state", lambda connection: PeerState.UNREAD)
+            answers = [
+                (await (await caller(service)).ask(asked(path, X_Expires_In="0.1")))[0] for _ in range(6)
+            ]
+            assert set(answers) <= {502, 503, 504} and not peer.requests
+            assert service.dispatcher.counts["unsent"] and not service.dispatcher.counts["unreached"]
+            monkeypatch.undo()
+            assert (await (await caller(service)).ask(asked(path)))[0] == 200
+
+    play(scenario)
+
+
 @CANCEL
 def test_one_that_left_while_its_bytes_were_in_our_buffer_is_withdrawn(cancel, monkeypatch):
     async def scenario():
